--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,252 @@
+// Package config reads the settings file that the platform hands to every
+// controller node, and checks it.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/netip"
+	"os"
+	"time"
+
+	"badgerbay/internal/unit"
+)
+
+// maxFile bounds the settings file.
+const maxFile = 4 << 20
+
+// Settings are the settings of one controller node.
+type Settings struct {
+	Label        string   `json:"label"`
+	Location     string   `json:"location"`
+	ClientListen string   `json:"client_listen"`
+	MeshAddr     string   `json:"mesh_addr"`
+	Peers        []Peer   `json:"peers"`
+	External     External `json:"external"`
+	Params       Params   `json:"params"`
+}
+
+// Peer is another controller node.
+type Peer struct {
+	Label    string `json:"label"`
+	Location string `json:"location"`
+	PeerAddr string `json:"peer_addr"`
+}
+
+// External holds the addresses of the regional services.
+type External struct {
+	Cloud string `json:"cloud"`
+	State string `json:"state"`
+}
+
+// Params describe the deployment.
+type Params struct {
+	Nodes         int         `json:"nodes"`
+	Zones         []unit.Zone `json:"zones"`
+	Teams         []Team      `json:"teams"`
+	Objectives    []Objective `json:"objectives"`
+	Workers       Workers     `json:"workers"`
+	State         State       `json:"state"`
+	Cloud         Cloud       `json:"cloud"`
+	MachineLimits Limits      `json:"machine_limits"`
+	ClockErrorMs  float64     `json:"clock_error_ms"`
+}
+
+// Team holds the guarantee and the limit of one team; 0 means none.
+type Team struct {
+	Name    unit.Team `json:"name"`
+	CPUs    float64   `json:"cpus"`
+	CPUsMax float64   `json:"cpus_max"`
+	GPUs    float64   `json:"gpus"`
+	GPUsMax float64   `json:"gpus_max"`
+}
+
+// Objective says what is expected for a class of jobs.
+type Objective struct {
+	Kind    string     `json:"kind"`
+	Class   unit.Class `json:"class"`
+	WithinS float64    `json:"within_s"`
+	Share   float64    `json:"share"`
+}
+
+// Workers hold the times that workers keep to.
+type Workers struct {
+	ReportS float64 `json:"report_s"`
+	LeaseS  float64 `json:"lease_s"`
+	CancelS float64 `json:"cancel_s"`
+}
+
+// State holds the limits of the state service.
+type State struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// Cloud holds the limits of the cloud's interface.
+type Cloud struct {
+	RPS      float64 `json:"rps"`
+	ListLagS float64 `json:"list_lag_s"`
+}
+
+// Limits are what this node's machine grants the process.
+type Limits struct {
+	CPU        float64 `json:"cpu"`
+	MemMB      float64 `json:"mem_mb"`
+	MaxSockets int     `json:"max_sockets"`
+}
+
+// ReportInterval is the nominal time between two reports of a worker.
+func (w Workers) ReportInterval() time.Duration { return unit.Seconds(w.ReportS) }
+
+// Lease is how long a worker keeps its tasks without an answer.
+func (w Workers) Lease() time.Duration { return unit.Seconds(w.LeaseS) }
+
+// Cancel is how long the tasks of a withdrawn job may stay.
+func (w Workers) Cancel() time.Duration { return unit.Seconds(w.CancelS) }
+
+// ListLag is the usual delay of the machine list.
+func (c Cloud) ListLag() time.Duration { return unit.Seconds(c.ListLagS) }
+
+// ValueBytes is the largest value the state service takes.
+func (s State) ValueBytes() int { return int(s.ValueKB * 1024) }
+
+// FieldError names the setting that is wrong.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error on one line.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+func wrong(field, format string, args ...any) error {
+	return &FieldError{Field: field, Reason: fmt.Sprintf(format, args...)}
+}
+
+// Load reads and checks the settings file at path.
+func Load(path string) (*Settings, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, wrong("config", "%v", err)
+	}
+	defer f.Close()
+	return Read(f)
+}
+
+// Read reads and checks settings. Unknown fields are ignored.
+func Read(r io.Reader) (*Settings, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxFile+1))
+	if err != nil {
+		return nil, wrong("config", "%v", err)
+	}
+	if len(data) > maxFile {
+		return nil, wrong("config", "larger than %d bytes", maxFile)
+	}
+	s := new(Settings)
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, jsonError(err)
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func jsonError(err error) error {
+	if te, ok := err.(*json.UnmarshalTypeError); ok && te.Field != "" {
+		return wrong(te.Field, "a %s can't be used as %s", te.Value, te.Type)
+	}
+	return wrong("config", "not a JSON object of settings: %v", err)
+}
+
+func (s *Settings) check() error {
+	if s.Label == "" {
+		return wrong("label", "missing")
+	}
+	for _, a := range []struct{ field, addr string }{
+		{"client_listen", s.ClientListen}, {"mesh_addr", s.MeshAddr},
+		{"external.cloud", s.External.Cloud}, {"external.state", s.External.State},
+	} {
+		if err := checkAddr(a.field, a.addr); err != nil {
+			return err
+		}
+	}
+	if err := s.checkPeers(); err != nil {
+		return err
+	}
+	return s.Params.check()
+}
+
+func (s *Settings) checkPeers() error {
+	seen := map[string]bool{s.Label: true}
+	for i, p := range s.Peers {
+		field := fmt.Sprintf("peers[%d]", i)
+		if p.Label == "" || seen[p.Label] {
+			return wrong(field+".label", "%q is missing or used twice", p.Label)
+		}
+		seen[p.Label] = true
+		if err := checkAddr(field+".peer_addr", p.PeerAddr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkAddr(field, addr string) error {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil || ap.Port() == 0 || !ap.Addr().Is4() {
+		return wrong(field, "%q is not an IPv4 address with a port", addr)
+	}
+	return nil
+}
+
+func (p *Params) check() error {
+	if len(p.Zones) == 0 {
+		return wrong("params.zones", "missing")
+	}
+	seen := map[unit.Team]bool{}
+	for i, t := range p.Teams {
+		field := fmt.Sprintf("params.teams[%d]", i)
+		if t.Name == "" || seen[t.Name] {
+			return wrong(field+".name", "%q is missing or used twice", t.Name)
+		}
+		seen[t.Name] = true
+		for _, n := range []number{{"cpus", t.CPUs}, {"cpus_max", t.CPUsMax}, {"gpus", t.GPUs}, {"gpus_max", t.GPUsMax}} {
+			if !(n.value >= 0) || math.IsInf(n.value, 0) {
+				return wrong(field+"."+n.field, "%v is not an amount", n.value)
+			}
+		}
+	}
+	return p.checkNumbers()
+}
+
+type number struct {
+	field string
+	value float64
+}
+
+func (p *Params) checkNumbers() error {
+	for _, n := range []number{
+		{"workers.report_s", p.Workers.ReportS}, {"workers.lease_s", p.Workers.LeaseS},
+		{"workers.cancel_s", p.Workers.CancelS}, {"state.rps", p.State.RPS},
+		{"state.write_rps", p.State.WriteRPS}, {"state.value_kb", p.State.ValueKB},
+		{"state.txn_ops", float64(p.State.TxnOps)}, {"cloud.rps", p.Cloud.RPS},
+		{"machine_limits.cpu", p.MachineLimits.CPU}, {"machine_limits.mem_mb", p.MachineLimits.MemMB},
+		{"machine_limits.max_sockets", float64(p.MachineLimits.MaxSockets)},
+	} {
+		if !(n.value > 0) || math.IsInf(n.value, 0) {
+			return wrong("params."+n.field, "%v is not a number above 0", n.value)
+		}
+	}
+	if p.Workers.LeaseS <= 2*p.Workers.ReportS {
+		return wrong("params.workers.lease_s", "%v leaves no room for a lost report (report_s %v)", p.Workers.LeaseS, p.Workers.ReportS)
+	}
+	if !(p.Cloud.ListLagS >= 0) {
+		return wrong("params.cloud.list_lag_s", "%v is not a duration", p.Cloud.ListLagS)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/unit/ranges.go
@@ -0,0 +1,121 @@
+package unit
+
+import "sort"
+
+// Span is the run of task indexes from First to Last, both included. It is
+// encoded as a list of two numbers.
+type Span struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	First    TaskIndex
+	Last     TaskIndex
+}
+
+// Len counts the indexes of the span.
+func (s Span) Len() int { return int(s.Last-s.First) + 1 }
+
+// Ranges is a set of task indexes kept as sorted, disjoint, non-adjacent
+// spans. The zero value is the empty set.
+type Ranges []Span
+
+// Full returns the set of the first n indexes.
+func Full(n int) Ranges {
+	if n <= 0 {
+		return nil
+	}
+	return Ranges{{First: 0, Last: TaskIndex(n - 1)}}
+}
+
+// Len counts the indexes in the set.
+func (r Ranges) Len() int {
+	n := 0
+	for _, s := range r {
+		n += s.Len()
+	}
+	return n
+}
+
+// Has tells whether i is in the set.
+func (r Ranges) Has(i TaskIndex) bool {
+	k := sort.Search(len(r), func(k int) bool { return r[k].Last >= i })
+	return k < len(r) && r[k].First <= i
+}
+
+// Valid tells whether the spans are sorted, disjoint, non-adjacent and below n.
+func (r Ranges) Valid(n int) bool {
+	next := 0
+	for k, s := range r {
+		if s.First > s.Last || int(s.Last) >= n || int(s.First) < next || (k > 0 && int(s.First) == next) {
+			return false
+		}
+		next = int(s.Last) + 1
+	}
+	return true
+}
+
+// Add puts i into the set and tells whether it was new.
+func (r *Ranges) Add(i TaskIndex) bool {
+	s := *r
+	k := sort.Search(len(s), func(k int) bool { return s[k].Last >= i })
+	if k < len(s) && s[k].First <= i {
+		return false
+	}
+	joinsLeft := k > 0 && s[k-1].Last+1 == i
+	joinsRight := k < len(s) && s[k].First == i+1
+	switch {
+	case joinsLeft && joinsRight:
+		s[k-1].Last = s[k].Last
+		s = append(s[:k], s[k+1:]...)
+	case joinsLeft:
+		s[k-1].Last = i
+	case joinsRight:
+		s[k].First = i
+	default:
+		s = append(s, Span{})
+		copy(s[k+1:], s[k:])
+		s[k] = Span{First: i, Last: i}
+	}
+	*r = s
+	return true
+}
+
+// Remove takes i out of the set and tells whether it was there.
+func (r *Ranges) Remove(i TaskIndex) bool {
+	s := *r
+	k := sort.Search(len(s), func(k int) bool { return s[k].Last >= i })
+	if k == len(s) || s[k].First > i {
+		return false
+	}
+	old := s[k]
+	switch {
+	case old.First == i && old.Last == i:
+		s = append(s[:k], s[k+1:]...)
+	case old.First == i:
+		s[k].First++
+	case old.Last == i:
+		s[k].Last--
+	default:
+		s = append(s, Span{})
+		copy(s[k+1:], s[k:])
+		s[k].Last = i - 1
+		s[k+1].First = i + 1
+	}
+	*r = s
+	return true
+}
+
+// Each calls f for every index in order until f returns false.
+func (r Ranges) Each(f func(TaskIndex) bool) {
+	for _, s := range r {
+		for i := s.First; ; i++ {
+			if !f(i) {
+				return
+			}
+			if i == s.Last {
+				break
+			}
+		}
+	}
+}
+
+// Clone returns a copy that shares nothing with r.
+func (r Ranges) Clone() Ranges { return append(Ranges(nil), r...) }
--- /dev/null
+++ b/internal/unit/unit.go
@@ -0,0 +1,151 @@
+// Package unit holds the small types shared by every slice: identities,
+// versions and times. Each has a type of its own so that an epoch cannot be
+// mistaken for an attempt, nor a job for a task.
+package unit
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// JobID names a job. Users choose it; see ParseJobID for its form.
+type JobID string
+
+// TaskIndex numbers a task within its job, from 0.
+type TaskIndex uint32
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job   JobID
+	Index TaskIndex
+}
+
+// MachineID names a machine of the cloud. Names sort in order of creation.
+type MachineID string
+
+// Team names the team whose guarantee and limit a job counts against.
+type Team string
+
+// Zone names a zone.
+type Zone string
+
+// MachineType names a kind of machine that the cloud rents.
+type MachineType string
+
+// Image names the bundle a task needs on its machine.
+type Image string
+
+// Class names the class of jobs that an objective speaks of.
+type Class string
+
+// Epoch is the stamp of the leader key: the fencing token of the leader and
+// the seal of the workers.
+type Epoch uint64
+
+// Version is the stamp of a key of the state service; 0 means absent.
+type Version uint64
+
+// Attempt numbers the launches of a task. It is the number of the round that
+// decided the launch, so it rises for ever.
+type Attempt uint64
+
+// RoundNo numbers rounds; it never repeats.
+type RoundNo uint64
+
+// Shift numbers the sessions of a worker.
+type Shift uint64
+
+// Tally orders the messages of one worker within a shift.
+type Tally uint64
+
+// Tenure is the id of a lease at the state service.
+type Tenure uint64
+
+// Instant is a reading of this process's steady clock. It means nothing to
+// any other process and is never stored.
+type Instant time.Duration
+
+// Add returns the instant d later.
+func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
+
+// Sub returns the time from u to t.
+func (t Instant) Sub(u Instant) time.Duration { return time.Duration(t - u) }
+
+// Before tells whether t comes before u.
+func (t Instant) Before(u Instant) bool { return t < u }
+
+// Clock reads the steady clock and the time of day.
+type Clock interface {
+	Now() Instant
+	Wall() time.Time
+}
+
+// SystemClock is the Clock of a running process.
+type SystemClock struct{ start time.Time }
+
+// NewSystemClock returns a clock whose instants count from an hour before
+// now, so that a zero Instant always lies in the past.
+func NewSystemClock() *SystemClock { return &SystemClock{start: time.Now().Add(-time.Hour)} }
+
+// Now implements Clock.
+func (c *SystemClock) Now() Instant { return Instant(time.Since(c.start)) }
+
+// Wall implements Clock.
+func (c *SystemClock) Wall() time.Time { return time.Now() }
+
+const jobPrefix = "wk-"
+
+// ParseJobID checks the form of a job id: "wk-" and 6 to 12 digits.
+func ParseJobID(s string) (JobID, error) {
+	digits, ok := strings.CutPrefix(s, jobPrefix)
+	if !ok || len(digits) < 6 || len(digits) > 12 || !allDigits(digits) {
+		return "", fmt.Errorf("job id %.32q is not %s and digits", s, jobPrefix)
+	}
+	return JobID(s), nil
+}
+
+// String renders a task as its workers know it, such as wk-000412/3.
+func (t TaskID) String() string {
+	return string(t.Job) + "/" + strconv.FormatUint(uint64(t.Index), 10)
+}
+
+// ParseTaskID reads what String writes.
+func ParseTaskID(s string) (TaskID, error) {
+	job, index, ok := strings.Cut(s, "/")
+	if !ok || len(index) > 9 || !allDigits(index) {
+		return TaskID{}, fmt.Errorf("task id %.48q has no task number", s)
+	}
+	id, err := ParseJobID(job)
+	if err != nil {
+		return TaskID{}, err
+	}
+	n, err := strconv.ParseUint(index, 10, 32)
+	if err != nil {
+		return TaskID{}, fmt.Errorf("task id %.48q: %w", s, err)
+	}
+	return TaskID{Job: id, Index: TaskIndex(n)}, nil
+}
+
+func allDigits(s string) bool {
+	for _, c := range []byte(s) {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// Seconds turns a number of seconds, as settings and messages carry them,
+// into a duration. Numbers out of range are clamped.
+func Seconds(s float64) time.Duration {
+	const most = 1 << 31
+	if !(s > 0) {
+		return 0
+	}
+	if s > most {
+		s = most
+	}
+	return time.Duration(s * float64(time.Second))
+}
