--- /dev/null
+++ b/internal/leadership/leadership.go
@@ -0,0 +1,402 @@
+// Package leadership decides who leads. One key of the state service, bound
+// to a lease, names the leader; the stamp of that key is the epoch, which
+// fences every write of the leader and seals every command to a worker.
+package leadership
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"badgerbay/internal/unit"
+)
+
+// Key is the key that names the leader.
+const Key = "leader"
+
+// Holder is the value of Key. The nonce names one attempt of one process, so
+// that a restarted process can't take its predecessor's epoch for its own.
+type Holder struct {
+	Node  string `msgpack:"node" json:"node"`
+	Nonce string `msgpack:"nonce" json:"nonce"`
+}
+
+// Times are the settings of the lease.
+type Times struct {
+	Life  time.Duration // of the lease
+	Renew time.Duration // between renewals
+	Poll  time.Duration // between looks at the key by a node that does not lead
+}
+
+const (
+	retryRenew = 700 * time.Millisecond
+	// margin is what entitlement gives up at the end of the lease for timers
+	// that fire late; drift is what two steady clocks may differ by.
+	margin = 300 * time.Millisecond
+	drift  = 0.0005
+)
+
+// Input is what the machine takes: one of the types below.
+type Input interface{ leadership() }
+
+// Inputs. Sent is when the request left, by the steady clock.
+type (
+	// Tick lets time pass.
+	Tick struct{}
+	// KeyRead is what a look at the key found. Stamp 0: no leader.
+	KeyRead struct {
+		OK     bool
+		Holder Holder
+		Stamp  unit.Epoch
+	}
+	// Granted answers GrantLease.
+	Granted struct {
+		OK     bool
+		Tenure unit.Tenure
+		Sent   unit.Instant
+	}
+	// Acquired answers Acquire.
+	Acquired struct {
+		Outcome Outcome
+		Epoch   unit.Epoch
+	}
+	// Renewed answers Renew.
+	Renewed struct {
+		Outcome Outcome
+		Sent    unit.Instant
+	}
+	// Resealed answers Reseal.
+	Resealed struct {
+		Outcome Outcome
+		Epoch   unit.Epoch
+	}
+	// Deposed says that a guard on the key has failed.
+	Deposed struct{}
+	// RaiseSeal asks for a higher epoch of the same leader.
+	RaiseSeal struct{}
+	// Resign asks to give leadership up.
+	Resign struct{ Rest time.Duration }
+)
+
+func (Tick) leadership()      {}
+func (KeyRead) leadership()   {}
+func (Granted) leadership()   {}
+func (Acquired) leadership()  {}
+func (Renewed) leadership()   {}
+func (Resealed) leadership()  {}
+func (Deposed) leadership()   {}
+func (RaiseSeal) leadership() {}
+func (Resign) leadership()    {}
+
+// Outcome of a request to the state service.
+type Outcome int
+
+// Outcomes. Unknown: it may have been executed or may still be.
+const (
+	OK Outcome = iota
+	Refused
+	Unknown
+	Gone
+)
+
+// Effect is what the machine asks for: one of the types below.
+type Effect interface{ effect() }
+
+// Effects.
+type (
+	// ReadKey looks at the key.
+	ReadKey struct{}
+	// GrantLease asks for a lease.
+	GrantLease struct{ Life time.Duration }
+	// Acquire sets the key if it still has the stamp Prev.
+	Acquire struct {
+		Prev   unit.Epoch
+		Holder Holder
+		Tenure unit.Tenure
+	}
+	// Renew extends the lease.
+	Renew struct{ Tenure unit.Tenure }
+	// Reseal sets the key again, guarded by its own stamp.
+	Reseal struct {
+		Prev   unit.Epoch
+		Holder Holder
+		Tenure unit.Tenure
+	}
+	// Release ends the lease.
+	Release struct{ Tenure unit.Tenure }
+)
+
+func (ReadKey) effect()    {}
+func (GrantLease) effect() {}
+func (Acquire) effect()    {}
+func (Renew) effect()      {}
+func (Reseal) effect()     {}
+func (Release) effect()    {}
+
+type phase int
+
+const (
+	following phase = iota
+	granting
+	acquiring // the key was set, the answer is out or lost
+	leading
+)
+
+// Machine is the state machine of leadership on one node.
+type Machine struct {
+	node  string
+	times Times
+	rng   *rand.Rand
+
+	phase    phase
+	seen     Holder // the last holder read
+	stamp    unit.Epoch
+	nextPoll unit.Instant
+	busy     bool // a read, grant, acquire or reseal is under way
+
+	tenure   unit.Tenure
+	mine     Holder
+	epoch    unit.Epoch
+	until    unit.Instant // entitlement ends
+	renewing bool
+	nextTry  unit.Instant
+	sealing  bool
+	restTill unit.Instant // does not stand for election before
+}
+
+// New returns a machine for the node. Every process must give it a random
+// source of its own.
+func New(node string, times Times, rng *rand.Rand) *Machine {
+	return &Machine{node: node, times: times, rng: rng}
+}
+
+// Leads tells whether this node holds the key, entitled or not.
+func (m *Machine) Leads() bool { return m.phase == leading }
+
+// Epoch is the epoch of this node, if it leads.
+func (m *Machine) Epoch() unit.Epoch { return m.epoch }
+
+// Entitled tells whether this node may act as leader at now: it leads and its
+// lease surely still runs.
+func (m *Machine) Entitled(now unit.Instant) bool {
+	return m.phase == leading && now.Before(m.until)
+}
+
+// EntitledUntil is when entitlement ends unless the lease is renewed.
+func (m *Machine) EntitledUntil() unit.Instant {
+	if m.phase != leading {
+		return 0
+	}
+	return m.until
+}
+
+// Leader is the node that was last seen to hold the key, or "".
+func (m *Machine) Leader() string {
+	if m.phase == leading {
+		return m.node
+	}
+	return m.seen.Node
+}
+
+// Sealing tells whether a raise of the seal is under way. Writes of the
+// leader wait for it, since their guard would fail.
+func (m *Machine) Sealing() bool { return m.sealing }
+
+// Step takes one input at now and returns what to do.
+func (m *Machine) Step(now unit.Instant, in Input) []Effect {
+	switch in := in.(type) {
+	case Tick:
+		return m.tick(now)
+	case KeyRead:
+		return m.keyRead(now, in)
+	case Granted:
+		return m.granted(now, in)
+	case Acquired:
+		return m.acquired(now, in)
+	case Renewed:
+		return m.renewed(now, in)
+	case Resealed:
+		return m.resealed(in)
+	case Deposed:
+		m.depose(now)
+	case RaiseSeal:
+		return m.raise(now)
+	case Resign:
+		return m.resign(now, in)
+	}
+	return nil
+}
+
+func (m *Machine) entitlement(sent unit.Instant) unit.Instant {
+	life := time.Duration(float64(m.times.Life) * (1 - 2*drift))
+	return sent.Add(life - margin)
+}
+
+func (m *Machine) tick(now unit.Instant) []Effect {
+	if m.phase == leading {
+		return m.tickLeading(now)
+	}
+	if m.busy || now.Before(m.nextPoll) {
+		return nil
+	}
+	m.busy = true
+	return []Effect{ReadKey{}}
+}
+
+func (m *Machine) tickLeading(now unit.Instant) []Effect {
+	if m.renewing || now.Before(m.nextTry) {
+		return nil
+	}
+	m.renewing = true
+	return []Effect{Renew{Tenure: m.tenure}}
+}
+
+// pollAgain sets the time of the next look, jittered so that nodes that
+// started together do not stay together.
+func (m *Machine) pollAgain(now unit.Instant) {
+	jitter := 0.7 + 0.6*m.rng.Float64()
+	m.nextPoll = now.Add(time.Duration(float64(m.times.Poll) * jitter))
+}
+
+func (m *Machine) keyRead(now unit.Instant, in KeyRead) []Effect {
+	m.busy = false
+	m.pollAgain(now)
+	if !in.OK || m.phase == leading {
+		return nil
+	}
+	m.seen, m.stamp = in.Holder, in.Stamp
+	if m.phase == acquiring && in.Stamp != 0 && in.Holder == m.mine {
+		// The answer to the acquisition was lost, but it was executed.
+		m.lead(now, in.Stamp)
+		return nil
+	}
+	if !m.mayStand(now) {
+		return nil
+	}
+	m.phase, m.busy = granting, true
+	return []Effect{GrantLease{Life: m.times.Life}}
+}
+
+// mayStand tells whether the key is free for this node: it is absent, or an
+// earlier process of this same node set it. That process is surely dead, and
+// the guard on the stamp keeps the change from hitting anybody else's key.
+func (m *Machine) mayStand(now unit.Instant) bool {
+	if now.Before(m.restTill) {
+		return false
+	}
+	return m.stamp == 0 || m.seen.Node == m.node
+}
+
+func (m *Machine) granted(now unit.Instant, in Granted) []Effect {
+	m.busy = false
+	if m.phase != granting {
+		return nil
+	}
+	if !in.OK {
+		m.phase = following
+		return nil
+	}
+	m.tenure = in.Tenure
+	m.until = m.entitlement(in.Sent)
+	m.mine = Holder{Node: m.node, Nonce: m.nonce()}
+	m.phase, m.busy = acquiring, true
+	return []Effect{Acquire{Prev: m.stamp, Holder: m.mine, Tenure: m.tenure}}
+}
+
+func (m *Machine) nonce() string {
+	const digits = "0123456789abcdefghijklmnopqrstuvwxyz"
+	var b [16]byte
+	for i := range b {
+		b[i] = digits[m.rng.IntN(len(digits))]
+	}
+	return string(b[:])
+}
+
+func (m *Machine) acquired(now unit.Instant, in Acquired) []Effect {
+	m.busy = false
+	if m.phase != acquiring {
+		return nil
+	}
+	switch in.Outcome {
+	case OK:
+		m.lead(now, in.Epoch)
+	case Unknown:
+		// Read the key back at once: its value names this attempt if it was
+		// executed. Should it be executed later still, a later look finds it.
+		m.nextPoll = now
+	default:
+		m.phase = following
+		m.pollAgain(now)
+		return []Effect{Release{Tenure: m.tenure}}
+	}
+	return nil
+}
+
+func (m *Machine) lead(now unit.Instant, epoch unit.Epoch) {
+	m.phase, m.epoch = leading, epoch
+	m.seen, m.stamp = m.mine, epoch
+	m.renewing, m.sealing = false, false
+	m.nextTry = now
+}
+
+func (m *Machine) renewed(now unit.Instant, in Renewed) []Effect {
+	m.renewing = false
+	if m.phase != leading {
+		return nil
+	}
+	switch in.Outcome {
+	case OK:
+		// Also right after the deadline: the key was bound to the lease all
+		// along, so nobody else can have set it in between.
+		if until := m.entitlement(in.Sent); m.until.Before(until) {
+			m.until = until
+		}
+		m.nextTry = in.Sent.Add(m.times.Renew)
+	case Gone:
+		m.depose(now)
+	default:
+		m.nextTry = now.Add(retryRenew)
+	}
+	return nil
+}
+
+func (m *Machine) depose(now unit.Instant) {
+	if m.phase != leading {
+		return
+	}
+	m.phase, m.epoch, m.sealing, m.busy = following, 0, false, false
+	m.seen, m.stamp = Holder{}, 0
+	m.nextPoll = now
+}
+
+func (m *Machine) raise(now unit.Instant) []Effect {
+	if !m.Entitled(now) || m.sealing {
+		return nil
+	}
+	m.sealing = true
+	return []Effect{Reseal{Prev: m.epoch, Holder: m.mine, Tenure: m.tenure}}
+}
+
+func (m *Machine) resealed(in Resealed) []Effect {
+	if m.phase != leading {
+		return nil
+	}
+	switch in.Outcome {
+	case OK:
+		m.sealing, m.epoch, m.stamp = false, in.Epoch, in.Epoch
+	case Refused:
+		m.sealing = false
+	}
+	// Unknown and Gone: the caller reads the key back and reports
+	// Resealed or Deposed; until then the writes wait.
+	return nil
+}
+
+func (m *Machine) resign(now unit.Instant, in Resign) []Effect {
+	if m.phase != leading {
+		return nil
+	}
+	m.depose(now)
+	m.restTill = now.Add(in.Rest)
+	m.pollAgain(now)
+	return []Effect{Release{Tenure: m.tenure}}
+}
--- /dev/null
+++ b/internal/statestore/client.go
@@ -0,0 +1,281 @@
+// Package statestore speaks to the state service: a small consistent
+// key-value store with transactions and leases, and the only place where the
+// controllers keep anything.
+package statestore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/unit"
+)
+
+// Errors of the state service. ErrUncertain means that the request may have
+// been executed, or may still be; the others mean that it was not.
+var (
+	ErrUnavailable = errors.New("state service unavailable")
+	ErrThrottled   = errors.New("state service throttled us")
+	ErrUncertain   = errors.New("state service did not answer")
+	ErrNoLease     = errors.New("no such lease")
+	ErrMalformed   = errors.New("state service refused the request")
+	ErrCompacted   = errors.New("changes since that revision are no longer kept")
+)
+
+// ConflictError tells which guards of a transaction failed.
+type ConflictError struct{ Failed []string }
+
+// Error implements error.
+func (e *ConflictError) Error() string { return fmt.Sprintf("guards failed: %v", e.Failed) }
+
+// Item is one key with its value. The value is still encoded.
+type Item struct {
+	Key   string             `msgpack:"key"`
+	Value msgpack.RawMessage `msgpack:"value"`
+	Stamp unit.Version       `msgpack:"stamp"`
+}
+
+// Guard is a condition: the key has this version (0: it does not exist).
+type Guard struct {
+	Key   string       `msgpack:"key" json:"key"`
+	Stamp unit.Version `msgpack:"stamp" json:"stamp"`
+}
+
+// Write sets or removes a key.
+type Write struct {
+	Set    string      `msgpack:"set,omitempty" json:"set,omitempty"`
+	Value  any         `msgpack:"value,omitempty" json:"value,omitempty"`
+	Tenure unit.Tenure `msgpack:"tenure,omitempty" json:"tenure,omitempty"`
+	Remove string      `msgpack:"remove,omitempty" json:"remove,omitempty"`
+}
+
+// Txn is an atomic change.
+type Txn struct {
+	Guards []Guard `msgpack:"guards" json:"guards"`
+	Writes []Write `msgpack:"writes,omitempty" json:"writes,omitempty"`
+}
+
+// Change is one entry of a watch.
+type Change struct {
+	Set    string             `msgpack:"set"`
+	Remove string             `msgpack:"remove"`
+	Value  msgpack.RawMessage `msgpack:"value"`
+	Stamp  unit.Version       `msgpack:"stamp"`
+}
+
+// JSONSize is the size of a value in the form in which limits are counted.
+func JSONSize(v any) int {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return 1 << 30
+	}
+	return len(data)
+}
+
+const (
+	// maxAnswer bounds what is read of one answer. Watches have no limit of
+	// their own at the service.
+	maxAnswer      = 8 << 20
+	requestTimeout = 1500 * time.Millisecond
+	listPage       = 500
+)
+
+// Client speaks to the state service.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the service at addr.
+func NewClient(addr string, rt http.RoundTripper) *Client {
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: rt}}
+}
+
+type reply struct {
+	JournalNo unit.Version       `msgpack:"journalNo"`
+	Key       string             `msgpack:"key"`
+	Value     msgpack.RawMessage `msgpack:"value"`
+	Stamp     unit.Version       `msgpack:"stamp"`
+	Pairs     []Item             `msgpack:"pairs"`
+	More      bool               `msgpack:"more"`
+	Failed    []string           `msgpack:"failed"`
+	Tenure    unit.Tenure        `msgpack:"tenure"`
+	Log       []Change           `msgpack:"log"`
+	Error     string             `msgpack:"error"`
+}
+
+// call sends one request and sorts the answer. A status it returns without an
+// error is 200, 404 or 409.
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, body any) (int, *reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := newRequest(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %v", ErrUncertain, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %v", ErrUncertain, err)
+	}
+	return sortAnswer(resp.StatusCode, data)
+}
+
+func newRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
+	var rd io.Reader
+	if body != nil {
+		data, err := msgpack.Marshal(body)
+		if err != nil {
+			return nil, fmt.Errorf("%w: encoding: %v", ErrMalformed, err)
+		}
+		rd = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, rd)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	req.Header.Set("Content-Type", "application/msgpack")
+	return req, nil
+}
+
+// sortAnswer turns a status and a body into a reply or an error. A body that
+// can't be read leaves a successful request uncertain, never failed.
+func sortAnswer(status int, data []byte) (int, *reply, error) {
+	r := new(reply)
+	var bad error
+	if len(data) > 0 {
+		bad = msgpack.Unmarshal(data, r)
+	}
+	switch status {
+	case http.StatusOK, http.StatusNotFound, http.StatusConflict:
+		if bad != nil {
+			return 0, nil, fmt.Errorf("%w: %v", ErrUncertain, bad)
+		}
+		return status, r, nil
+	case http.StatusTooManyRequests:
+		return 0, nil, ErrThrottled
+	case http.StatusServiceUnavailable:
+		return 0, nil, ErrUnavailable
+	case http.StatusGone:
+		return 0, nil, ErrCompacted
+	case http.StatusBadRequest:
+		if r.Error == ErrNoLease.Error() {
+			return 0, nil, ErrNoLease
+		}
+		return 0, nil, fmt.Errorf("%w: %.200s", ErrMalformed, r.Error)
+	}
+	return 0, nil, fmt.Errorf("%w: status %d", ErrUncertain, status)
+}
+
+// Get reads a key. A key that does not exist has stamp 0.
+func (c *Client) Get(ctx context.Context, key string) (Item, error) {
+	status, r, err := c.call(ctx, requestTimeout, http.MethodGet, "/kv/"+key, nil)
+	if err != nil {
+		return Item{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	if status == http.StatusNotFound {
+		return Item{Key: key}, nil
+	}
+	if status != http.StatusOK || r.Stamp == 0 {
+		return Item{}, fmt.Errorf("get %s: %w: status %d", key, ErrUncertain, status)
+	}
+	return Item{Key: key, Value: r.Value, Stamp: r.Stamp}, nil
+}
+
+// List reads every key with the prefix, page by page. The revision is that of
+// the first page, so that a watch from it misses nothing.
+func (c *Client) List(ctx context.Context, prefix string) ([]Item, unit.Version, error) {
+	var items []Item
+	var first unit.Version
+	since := ""
+	for {
+		q := url.Values{"prefix": {prefix}, "page": {strconv.Itoa(listPage)}}
+		if since != "" {
+			q.Set("since", since)
+		}
+		_, r, err := c.call(ctx, 2*requestTimeout, http.MethodGet, "/kv?"+q.Encode(), nil)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+		}
+		if first == 0 {
+			first = r.JournalNo
+		}
+		items = append(items, r.Pairs...)
+		if !r.More || len(r.Pairs) == 0 {
+			return items, first, nil
+		}
+		since = r.Pairs[len(r.Pairs)-1].Key
+	}
+}
+
+// Commit applies a transaction and returns its revision, which is the new
+// version of every key it set.
+func (c *Client) Commit(ctx context.Context, t Txn) (unit.Version, error) {
+	status, r, err := c.call(ctx, requestTimeout, http.MethodPost, "/multi", t)
+	if err != nil {
+		return 0, fmt.Errorf("commit: %w", err)
+	}
+	switch {
+	case status == http.StatusConflict:
+		return 0, &ConflictError{Failed: r.Failed}
+	case status != http.StatusOK || r.JournalNo == 0:
+		return 0, fmt.Errorf("commit: %w: status %d", ErrUncertain, status)
+	}
+	return r.JournalNo, nil
+}
+
+// Grant asks for a lease.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (unit.Tenure, error) {
+	body := map[string]any{"lifeMs": life.Milliseconds()}
+	status, r, err := c.call(ctx, requestTimeout, http.MethodPost, "/leases", body)
+	if err != nil {
+		return 0, fmt.Errorf("grant: %w", err)
+	}
+	if status != http.StatusOK || r.Tenure == 0 {
+		return 0, fmt.Errorf("grant: %w: status %d", ErrUncertain, status)
+	}
+	return r.Tenure, nil
+}
+
+// Extend renews a lease; ErrNoLease means that it has ended.
+func (c *Client) Extend(ctx context.Context, t unit.Tenure) error {
+	path := fmt.Sprintf("/leases/%d/extend", t)
+	status, _, err := c.call(ctx, requestTimeout, http.MethodPost, path, map[string]any{})
+	if err != nil {
+		return fmt.Errorf("extend: %w", err)
+	}
+	if status == http.StatusNotFound {
+		return ErrNoLease
+	}
+	return nil
+}
+
+// Revoke ends a lease at once.
+func (c *Client) Revoke(ctx context.Context, t unit.Tenure) error {
+	_, _, err := c.call(ctx, requestTimeout, http.MethodDelete, fmt.Sprintf("/leases/%d", t), nil)
+	return err
+}
+
+// Watch waits until a key with the prefix has changed after since.
+func (c *Client) Watch(ctx context.Context, prefix string, since unit.Version, hold time.Duration) ([]Change, unit.Version, error) {
+	q := url.Values{"prefix": {prefix}, "since": {strconv.FormatUint(uint64(since), 10)},
+		"holdMs": {strconv.FormatInt(hold.Milliseconds(), 10)}}
+	_, r, err := c.call(ctx, hold+requestTimeout, http.MethodGet, "/watch?"+q.Encode(), nil)
+	if err != nil {
+		return nil, 0, fmt.Errorf("watch %s: %w", prefix, err)
+	}
+	return r.Log, r.JournalNo, nil
+}
