--- /dev/null
+++ b/internal/checkpoint/job.go
@@ -0,0 +1,237 @@
+package checkpoint
+
+import (
+	"sort"
+	"time"
+
+	"badgerbay/internal/unit"
+)
+
+// PlacementState is how far a placement is known to have come.
+type PlacementState int
+
+// States of a placement. Each but Ended means that the task may be on the
+// machine, or may yet come to be.
+const (
+	Pending PlacementState = iota // recorded; not seen on the machine
+	Fetching
+	Running
+	Flushing
+	Ended
+)
+
+// Placement is one attempt to run a task on one machine. It is over only when
+// it surely can't run any more; until then it counts for limits and places.
+type Placement struct {
+	Job     *Job
+	Task    unit.TaskIndex
+	Machine unit.MachineID
+	Shift   unit.Shift
+	Attempt unit.Attempt
+	State   PlacementState
+	// Seal is the highest seal a launch may have been sent under. A report
+	// with a higher one that lacks the task proves that it never will start.
+	Seal unit.Epoch
+	// Launch tells that the launch may be (re)sent.
+	Launch bool
+	// Halting is set once the task has been told to stop, with Leave.
+	Halting bool
+	Leave   time.Duration
+	Drain   bool // halted to make way or to drain, to be placed anew
+	Since   unit.Instant
+	Ran     unit.Instant // when it was first seen running
+	// EndSeq is the job's sequence number at which the end was taken in; the
+	// exit may be reaped once that much is stored.
+	EndSeq uint64
+}
+
+// ID is the name of the placement's task.
+func (p *Placement) ID() unit.TaskID { return unit.TaskID{Job: p.Job.ID, Index: p.Task} }
+
+// Job is the leader's working copy of a job.
+type Job struct {
+	ID       unit.JobID
+	Spec     Spec
+	Accepted int64
+	Phase    Phase
+	Done     unit.Ranges
+	Queue    unit.Ranges
+	Live     map[unit.TaskIndex]*Placement
+	Round    unit.RoundNo // the last committed round that started tasks of it
+
+	Version     unit.Version // of the stored record
+	Seq, Stored uint64       // changes made, changes stored
+	StoredRound unit.RoundNo
+	StoredPhase Phase
+	DirtySince  unit.Instant
+	Writing     bool
+
+	Errors    int          // failures in a row
+	NotBefore unit.Instant // no placing before
+	Avoid     map[unit.MachineID]unit.Instant
+	ByZone    map[unit.Zone]int // live placements
+	QueuedAt  unit.Instant      // since when tasks have been waiting
+	Known     unit.Instant      // when this leader learned of the job
+}
+
+// NewJob makes the working copy of a stored record. Placements in the record
+// are left to the caller, who knows what may still be on the machines.
+func NewJob(id unit.JobID, r *Record, version unit.Version, now unit.Instant) *Job {
+	j := &Job{ID: id, Spec: r.Spec, Accepted: r.Accepted, Phase: r.Phase, Done: r.Done.Clone(),
+		Live: map[unit.TaskIndex]*Placement{}, Round: r.Round, Version: version,
+		StoredRound: r.Round, StoredPhase: r.Phase, ByZone: map[unit.Zone]int{}, QueuedAt: now, Known: now}
+	if !j.Phase.Final() {
+		j.Queue = gaps(j.Done, j.Spec.Tasks)
+	}
+	return j
+}
+
+func gaps(done unit.Ranges, n int) unit.Ranges {
+	var out unit.Ranges
+	next := unit.TaskIndex(0)
+	for _, s := range done {
+		if s.First > next {
+			out = append(out, unit.Span{First: next, Last: s.First - 1})
+		}
+		next = s.Last + 1
+	}
+	if int(next) < n {
+		out = append(out, unit.Span{First: next, Last: unit.TaskIndex(n - 1)})
+	}
+	return out
+}
+
+// Touch marks the job as changed since its record was written.
+func (j *Job) Touch(now unit.Instant) {
+	if !j.Dirty() {
+		j.DirtySince = now
+	}
+	j.Seq++
+}
+
+// Dirty tells whether the record lags behind the working copy.
+func (j *Job) Dirty() bool { return j.Seq != j.Stored }
+
+// Start puts a placement under way in place of the queued task.
+func (j *Job) Start(p *Placement, zone unit.Zone) {
+	j.Queue.Remove(p.Task)
+	j.Live[p.Task] = p
+	j.ByZone[zone]++
+}
+
+// End takes a placement out that is surely over. With requeue its task waits
+// to be placed again, unless it is done or the job is over.
+func (j *Job) End(now unit.Instant, p *Placement, zone unit.Zone, requeue bool) {
+	if j.Live[p.Task] != p {
+		return
+	}
+	delete(j.Live, p.Task)
+	j.ByZone[zone]--
+	p.State = Ended
+	if requeue && !j.Phase.Final() && !j.Done.Has(p.Task) {
+		if len(j.Queue) == 0 {
+			j.QueuedAt = now
+		}
+		j.Queue.Add(p.Task)
+	}
+	j.Touch(now)
+	p.EndSeq = j.Seq
+}
+
+// Complete notes that a task has completed.
+func (j *Job) Complete(now unit.Instant, i unit.TaskIndex) {
+	if int(i) >= j.Spec.Tasks || !j.Done.Add(i) {
+		return
+	}
+	j.Queue.Remove(i)
+	j.Errors = 0
+	if j.Phase == Active && j.Done.Len() == j.Spec.Tasks {
+		j.Phase = Done
+	}
+	j.Touch(now)
+}
+
+// Cancel withdraws the job unless it is over.
+func (j *Job) Cancel(now unit.Instant) {
+	if j.Phase.Final() {
+		return
+	}
+	j.Phase, j.Queue = Cancelled, nil
+	j.Touch(now)
+}
+
+// Running counts the tasks that are seen running.
+func (j *Job) Running() int {
+	n := 0
+	for _, p := range j.Live {
+		if p.State == Running || p.State == Flushing {
+			n++
+		}
+	}
+	return n
+}
+
+// Urgent tells whether somebody waits for the record to be written.
+func (j *Job) Urgent() bool { return j.Dirty() && j.Phase != j.StoredPhase }
+
+// Record is the checkpoint of the job as it stands. Placements that a round
+// under way proposes are not in it: they come to the job with that round.
+func (j *Job) Record(epoch unit.Epoch) *Record {
+	r := &Record{Schema: Schema, Spec: j.Spec, Accepted: j.Accepted, Phase: j.Phase,
+		Epoch: epoch, Round: j.Round, Done: j.Done.Clone(), Live: j.groups()}
+	switch {
+	case j.Phase.Final() && len(r.Live) > 0:
+		r.Next = Halt
+	case j.Phase.Final():
+		r.Next = None
+	case len(r.Live) > 0:
+		r.Next = Reconcile
+	default:
+		r.Next = Place
+	}
+	return r
+}
+
+type groupKey struct {
+	machine unit.MachineID
+	shift   unit.Shift
+	attempt unit.Attempt
+}
+
+func (j *Job) groups() []Group {
+	at := map[groupKey]int{}
+	var out []Group
+	for _, p := range j.Live {
+		k := groupKey{p.Machine, p.Shift, p.Attempt}
+		n, ok := at[k]
+		if !ok {
+			n = len(out)
+			at[k] = n
+			out = append(out, Group{Machine: p.Machine, Shift: p.Shift, Attempt: p.Attempt})
+		}
+		out[n].Tasks.Add(p.Task)
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if out[a].Machine != out[b].Machine {
+			return out[a].Machine < out[b].Machine
+		}
+		return out[a].Attempt < out[b].Attempt
+	})
+	return out
+}
+
+// Sizes, in the JSON form in which the limit counts: of one span and of one
+// group with the longest numbers that occur.
+const (
+	spanSize  = 18
+	groupSize = 110
+)
+
+// Room tells how many more tasks may be under way so that the record stays
+// below limit bytes whatever order they end in. Tasks start lowest number
+// first, so each task under way adds at most one span to the done ranges and
+// one to its group.
+func (j *Job) Room(limit, specSize int) int {
+	free := limit - specSize - 256 - groupSize*(len(j.Live)) - 2*spanSize*(len(j.Live)+len(j.Done)+len(j.Queue))
+	return max(0, free/(groupSize+2*spanSize))
+}
--- /dev/null
+++ b/internal/checkpoint/record.go
@@ -0,0 +1,93 @@
+package checkpoint
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/unit"
+)
+
+// KeyPrefix begins the keys of the job records.
+const KeyPrefix = "job/"
+
+// Schema is the version of Record. A reader refuses a record of a later
+// schema rather than guess what it means; see docs/operations.md.
+const Schema = 1
+
+// Phase of a job. Done and Cancelled are final.
+type Phase string
+
+// Phases.
+const (
+	Active    Phase = "active"
+	Done      Phase = "done"
+	Cancelled Phase = "cancelled"
+)
+
+// Final tells whether a job in this phase stays in it for ever.
+func (p Phase) Final() bool { return p == Done || p == Cancelled }
+
+// Action is the next safe action for whoever takes a job over.
+type Action string
+
+// Actions.
+const (
+	Place     Action = "place"     // tasks are queued, none may be running
+	Reconcile Action = "reconcile" // placements must be matched before placing
+	Halt      Action = "halt"      // placements must be brought to an end
+	None      Action = "none"
+)
+
+// Group is a set of tasks that one round put on one machine.
+type Group struct {
+	Machine unit.MachineID `msgpack:"m" json:"m"`
+	Shift   unit.Shift     `msgpack:"s" json:"s"`
+	Attempt unit.Attempt   `msgpack:"a" json:"a"`
+	Tasks   unit.Ranges    `msgpack:"t" json:"t"`
+}
+
+// Record is the value of job/ID: the spec and the checkpoint.
+type Record struct {
+	Schema   int          `msgpack:"v" json:"v"`
+	Spec     Spec         `msgpack:"spec" json:"spec"`
+	Accepted int64        `msgpack:"at" json:"at"` // time of day, ms
+	Phase    Phase        `msgpack:"ph" json:"ph"`
+	Epoch    unit.Epoch   `msgpack:"e" json:"e"`
+	Round    unit.RoundNo `msgpack:"r" json:"r"` // the last round folded in
+	Done     unit.Ranges  `msgpack:"d,omitempty" json:"d,omitempty"`
+	Live     []Group      `msgpack:"l,omitempty" json:"l,omitempty"`
+	Next     Action       `msgpack:"nx" json:"nx"`
+}
+
+// ErrSchema says that a record was written by a later version.
+var ErrSchema = errors.New("record has a later schema")
+
+// Key is the key of a job's record.
+func Key(id unit.JobID) string { return KeyPrefix + string(id) }
+
+// Decode reads a record and checks it.
+func Decode(data []byte) (*Record, error) {
+	r := new(Record)
+	if err := msgpack.Unmarshal(data, r); err != nil {
+		return nil, fmt.Errorf("decoding job record: %w", err)
+	}
+	if r.Schema > Schema {
+		return nil, fmt.Errorf("%w: %d, this program knows %d", ErrSchema, r.Schema, Schema)
+	}
+	if r.Spec.Tasks < 1 || !r.Done.Valid(r.Spec.Tasks) {
+		return nil, errors.New("job record holds impossible ranges")
+	}
+	for _, g := range r.Live {
+		if !g.Tasks.Valid(r.Spec.Tasks) {
+			return nil, errors.New("job record holds an impossible placement")
+		}
+	}
+	return r, nil
+}
+
+// NewRecord is the record of a job just accepted.
+func NewRecord(spec Spec, acceptedMs int64) *Record {
+	return &Record{Schema: Schema, Spec: spec, Accepted: acceptedMs, Phase: Active, Next: Place}
+}
--- /dev/null
+++ b/internal/checkpoint/spec.go
@@ -0,0 +1,96 @@
+// Package checkpoint holds what is kept of a job: its spec, and the
+// checkpoint from which any leader can go on. The record in the state service
+// is the authority; the Job in memory is the leader's working copy of it.
+package checkpoint
+
+import "badgerbay/internal/unit"
+
+// Priority orders jobs; the higher goes first.
+type Priority int
+
+// Priorities.
+const (
+	BestEffort Priority = iota
+	Standard
+	High
+	Prod
+)
+
+// Spec is what the owner asked for. Names are short because every write of
+// the checkpoint carries it.
+type Spec struct {
+	Class       unit.Class         `msgpack:"c" json:"c"`
+	Team        unit.Team          `msgpack:"t" json:"t"`
+	Service     bool               `msgpack:"sv,omitempty" json:"sv,omitempty"`
+	Priority    Priority           `msgpack:"p" json:"p"`
+	Tasks       int                `msgpack:"n" json:"n"`
+	CPUs        float64            `msgpack:"cpu" json:"cpu"`
+	GPUs        float64            `msgpack:"gpu,omitempty" json:"gpu,omitempty"`
+	MemoryGB    float64            `msgpack:"mem" json:"mem"`
+	Types       []unit.MachineType `msgpack:"ty,omitempty" json:"ty,omitempty"`
+	Zone        unit.Zone          `msgpack:"z,omitempty" json:"z,omitempty"`
+	OneZone     bool               `msgpack:"oz,omitempty" json:"oz,omitempty"`
+	Spread      bool               `msgpack:"sp,omitempty" json:"sp,omitempty"`
+	Spot        bool               `msgpack:"spot,omitempty" json:"spot,omitempty"`
+	Image       unit.Image         `msgpack:"im" json:"im"`
+	ImageGB     float64            `msgpack:"ig" json:"ig"`
+	EstimateS   float64            `msgpack:"es" json:"es"`
+	CheckpointS float64            `msgpack:"cs,omitempty" json:"cs,omitempty"`
+	SaveS       float64            `msgpack:"ss,omitempty" json:"ss,omitempty"`
+	DeadlineS   float64            `msgpack:"dl,omitempty" json:"dl,omitempty"`
+}
+
+// Resources are an amount of what machines have.
+type Resources struct{ CPUs, GPUs, MemoryGB float64 }
+
+// epsilon forgives the rounding of sums of decimal amounts.
+const epsilon = 1e-6
+
+// Fits tells whether need fits into r.
+func (r Resources) Fits(need Resources) bool {
+	return need.CPUs <= r.CPUs+epsilon && need.GPUs <= r.GPUs+epsilon && need.MemoryGB <= r.MemoryGB+epsilon
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.CPUs + o.CPUs, r.GPUs + o.GPUs, r.MemoryGB + o.MemoryGB}
+}
+
+// Minus returns the difference.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.CPUs - o.CPUs, r.GPUs - o.GPUs, r.MemoryGB - o.MemoryGB}
+}
+
+// Times returns n of r.
+func (r Resources) Times(n int) Resources {
+	f := float64(n)
+	return Resources{r.CPUs * f, r.GPUs * f, r.MemoryGB * f}
+}
+
+// Need is what one task takes.
+func (s *Spec) Need() Resources { return Resources{s.CPUs, s.GPUs, s.MemoryGB} }
+
+// Allows tells whether a machine of the type, zone and kind may run the job's
+// tasks, leaving aside where the other tasks are.
+func (s *Spec) Allows(t unit.MachineType, z unit.Zone, spot bool) bool {
+	if spot && !s.Spot || s.Zone != "" && s.Zone != z {
+		return false
+	}
+	if len(s.Types) == 0 {
+		return true
+	}
+	for _, allowed := range s.Types {
+		if allowed == t {
+			return true
+		}
+	}
+	return false
+}
+
+// ZoneCap is the most tasks that may be in one zone, for a job that is spread.
+func (s *Spec) ZoneCap() int {
+	if !s.Spread {
+		return s.Tasks
+	}
+	return (s.Tasks + 1) / 2
+}
