--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,571 @@
+// Package fleet keeps what the leader knows of the machines and of the tasks
+// on them. It is a pure state machine: reports and time go in, orders and
+// changes come out.
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/unit"
+)
+
+// Type is a machine type as the cloud describes it.
+type Type struct {
+	Name      unit.MachineType
+	Capacity  checkpoint.Resources
+	CacheGB   float64
+	FetchGBps float64
+	Price     float64
+	SpotPrice float64
+	Boot      time.Duration
+	Zones     []unit.Zone
+}
+
+// Machine is one machine as the leader knows it.
+type Machine struct {
+	ID    unit.MachineID
+	Addr  string
+	Type  unit.MachineType
+	Zone  unit.Zone
+	Spot  bool
+	Shift unit.Shift
+	Tally unit.Tally
+	Seal  unit.Epoch // the highest the worker has reported
+
+	Up         bool // has reported in its present shift, and is not lost
+	Listed     unit.Instant
+	LastListed unit.Instant
+	Failed     bool
+	Since      unit.Instant // when this leader learned of it
+	Born       unit.Instant // about when it was rented
+	LastReport unit.Instant
+	LastAnswer unit.Instant // the latest that its lease may have been renewed
+	IdleSince  unit.Instant
+	NoticeAt   unit.Instant // when the cloud takes it; 0: no notice
+	Releasing  bool         // a release is recorded: never a task again
+	Gone       bool
+	Suspect    int // tasks that failed here in a row
+	Drained    bool
+
+	places  map[unit.TaskID]*checkpoint.Placement
+	strays  map[unit.TaskID]Entry
+	used    checkpoint.Resources
+	images  map[unit.Image]cached
+	pushing bool
+	push    bool
+}
+
+type cached struct {
+	gb   float64
+	used unit.Instant
+}
+
+// Times are the workers' times and the margins the leader adds.
+type Times struct {
+	Report time.Duration
+	Lease  time.Duration
+}
+
+// leaseMargin is added to a worker's lease for timers that fire late, and
+// drift for steady clocks that differ.
+const (
+	leaseMargin = 500 * time.Millisecond
+	drift       = 0.0005
+	// maxOrders bounds the orders of one message, so that it stays well below
+	// MaxBody.
+	maxOrders = 400
+)
+
+// Ended is a placement that is over.
+type Ended struct {
+	Placement *checkpoint.Placement
+	Cause     Cause
+	Stored    bool
+}
+
+// Started is a placement first seen running.
+type Started struct{ Placement *checkpoint.Placement }
+
+// Changes are what a report brought.
+type Changes struct {
+	Stale   bool // older than what is known; not taken in
+	Higher  bool // the worker has seen a higher seal than ours
+	Ended   []Ended
+	Started []Started
+	NewUp   bool // the machine is new, or back in a new shift
+	Noticed bool
+}
+
+// Fleet is all machines.
+type Fleet struct {
+	times    Times
+	types    map[unit.MachineType]*Type
+	machines map[unit.MachineID]*Machine
+	jobs     func(unit.JobID) *checkpoint.Job
+	takeover unit.Instant
+	epoch    unit.Epoch
+	tombs    int
+}
+
+// New returns an empty fleet of a leader that acquired its epoch at takeover.
+func New(times Times, epoch unit.Epoch, takeover unit.Instant, jobs func(unit.JobID) *checkpoint.Job) *Fleet {
+	return &Fleet{times: times, epoch: epoch, takeover: takeover, jobs: jobs,
+		types: map[unit.MachineType]*Type{}, machines: map[unit.MachineID]*Machine{}}
+}
+
+// SetTypes takes in the machine types.
+func (f *Fleet) SetTypes(types []*Type) {
+	for _, t := range types {
+		f.types[t.Name] = t
+	}
+}
+
+// Type returns a machine type, or nil.
+func (f *Fleet) Type(name unit.MachineType) *Type { return f.types[name] }
+
+// SetEpoch takes in a raised seal.
+func (f *Fleet) SetEpoch(e unit.Epoch) { f.epoch = e }
+
+// Machine returns a machine, or nil.
+func (f *Fleet) Machine(id unit.MachineID) *Machine { return f.machines[id] }
+
+// Machines returns all machines in the order of their names.
+func (f *Fleet) Machines() []*Machine {
+	out := make([]*Machine, 0, len(f.machines))
+	for _, m := range f.machines {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// Len counts the machines.
+func (f *Fleet) Len() int { return len(f.machines) }
+
+// Tombstones counts exits that wait to be reaped.
+func (f *Fleet) Tombstones() int { return f.tombs }
+
+// Ensure returns the machine, making it if it is not known.
+func (f *Fleet) Ensure(now unit.Instant, id unit.MachineID) *Machine {
+	m := f.machines[id]
+	if m == nil {
+		m = &Machine{ID: id, Since: now, Born: now, IdleSince: now,
+			places: map[unit.TaskID]*checkpoint.Placement{}, strays: map[unit.TaskID]Entry{},
+			images: map[unit.Image]cached{}}
+		f.machines[id] = m
+	}
+	return m
+}
+
+// Free is what is left on the machine by all placements that may exist.
+func (f *Fleet) Free(m *Machine) checkpoint.Resources {
+	t := f.types[m.Type]
+	if t == nil {
+		return checkpoint.Resources{}
+	}
+	return t.Capacity.Minus(m.used)
+}
+
+// Placeable tells whether the machine may get tasks.
+func (f *Fleet) Placeable(m *Machine) bool {
+	return m.Up && !m.Releasing && !m.Gone && !m.Failed && m.NoticeAt == 0 && !m.Drained &&
+		len(m.strays) == 0 && f.types[m.Type] != nil
+}
+
+// Quiet tells whether the machine has missed reports, so that a launch sent
+// to it would probably hang.
+func (f *Fleet) Quiet(now unit.Instant, m *Machine) bool {
+	return now.Sub(m.LastReport) > 2*f.times.Report+f.times.Report/2
+}
+
+// HasImage tells whether the image is known to be on the machine.
+func (m *Machine) HasImage(i unit.Image) bool { _, ok := m.images[i]; return ok }
+
+// Live returns the placements that may exist on the machine.
+func (m *Machine) Live() []*checkpoint.Placement {
+	var out []*checkpoint.Placement
+	for _, p := range m.places {
+		if p.State != checkpoint.Ended {
+			out = append(out, p)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return less(out[a].ID(), out[b].ID()) })
+	return out
+}
+
+// Busy tells whether any placement may exist on the machine.
+func (m *Machine) Busy() bool {
+	for _, p := range m.places {
+		if p.State != checkpoint.Ended {
+			return true
+		}
+	}
+	return len(m.strays) > 0
+}
+
+func less(a, b unit.TaskID) bool {
+	if a.Job != b.Job {
+		return a.Job < b.Job
+	}
+	return a.Index < b.Index
+}
+
+// Place puts a placement on its machine.
+func (f *Fleet) Place(now unit.Instant, p *checkpoint.Placement) {
+	m := f.Ensure(now, p.Machine)
+	if old := m.places[p.ID()]; old != nil && old.State == checkpoint.Ended {
+		f.tombs--
+	}
+	m.places[p.ID()] = p
+	m.used = m.used.Plus(p.Job.Spec.Need())
+	p.Job.Start(p, m.Zone)
+}
+
+// Withdraw takes back a placement whose launch was never sent and never will.
+func (f *Fleet) Withdraw(now unit.Instant, p *checkpoint.Placement) {
+	f.end(now, p, true)
+	f.drop(p)
+}
+
+// end notes that a placement is over; it stays as a tombstone.
+func (f *Fleet) end(now unit.Instant, p *checkpoint.Placement, requeue bool) {
+	if p.State == checkpoint.Ended {
+		return
+	}
+	m := f.machines[p.Machine]
+	m.used = m.used.Minus(p.Job.Spec.Need())
+	p.Job.End(now, p, m.Zone, requeue)
+	p.State = checkpoint.Ended
+	f.tombs++
+	if !m.Busy() {
+		m.used = checkpoint.Resources{}
+		m.IdleSince = now
+	}
+}
+
+// drop forgets a placement that is over and can't be launched any more.
+func (f *Fleet) drop(p *checkpoint.Placement) {
+	m := f.machines[p.Machine]
+	if m != nil && m.places[p.ID()] == p {
+		delete(m.places, p.ID())
+		f.tombs--
+	}
+}
+
+// Take takes in a report, or the report that answers a command. With answered
+// the worker's lease is going to be renewed by an answer that leaves now.
+func (f *Fleet) Take(now unit.Instant, r *Report, answered bool) Changes {
+	m := f.Ensure(now, r.Machine)
+	if answered {
+		// Conservative: even an old report that gets an answer counts.
+		m.LastAnswer = now
+	}
+	if r.Shift < m.Shift || r.Shift == m.Shift && r.Tally <= m.Tally || m.Gone {
+		return Changes{Stale: true}
+	}
+	var c Changes
+	c.NewUp = !m.Up
+	if r.Shift > m.Shift {
+		c.NewUp = true
+		f.endAll(now, m, &c)
+	}
+	f.describe(now, m, r)
+	if r.Seal > f.epoch {
+		c.Higher = true
+	}
+	if r.Noticed && m.NoticeAt == 0 {
+		c.Noticed = true
+		m.NoticeAt = now.Add(r.Notice)
+	} else if !r.Noticed {
+		m.NoticeAt = 0
+	}
+	f.match(now, m, r, &c)
+	return c
+}
+
+func (f *Fleet) describe(now unit.Instant, m *Machine, r *Report) {
+	if m.Zone != r.Zone {
+		f.moveZone(m, r.Zone)
+	}
+	m.Addr, m.Type, m.Spot = r.Addr, r.Type, r.Spot
+	m.Shift, m.Tally = r.Shift, r.Tally
+	m.Seal = max(m.Seal, r.Seal)
+	m.Up, m.LastReport = true, now
+}
+
+// moveZone corrects the zone counts of jobs whose placements were read back
+// before the machine's zone was known.
+func (f *Fleet) moveZone(m *Machine, z unit.Zone) {
+	for _, p := range m.places {
+		if p.State != checkpoint.Ended {
+			p.Job.ByZone[m.Zone]--
+			p.Job.ByZone[z]++
+		}
+	}
+	m.Zone = z
+}
+
+// match compares the tasks of a report with the placements.
+func (f *Fleet) match(now unit.Instant, m *Machine, r *Report, c *Changes) {
+	seen := make(map[unit.TaskID]bool, len(r.Entries))
+	m.strays = map[unit.TaskID]Entry{}
+	for _, e := range r.Entries {
+		p := m.places[e.Task]
+		if p == nil || p.Attempt != e.Attempt {
+			f.stray(now, m, e)
+			continue
+		}
+		seen[e.Task] = true
+		f.observe(now, m, p, e, c)
+	}
+	for id, p := range m.places {
+		if !seen[id] {
+			f.absent(now, p, r, c)
+		}
+	}
+}
+
+// stray takes in a task that no placement names. An exited one is only reaped;
+// one that may run is halted, and its machine gets nothing until it is gone.
+// A completed one counts: done is done, whoever started it.
+func (f *Fleet) stray(now unit.Instant, m *Machine, e Entry) {
+	j := f.jobs(e.Task.Job)
+	if e.State == stateExited && e.Cause == CauseDone && j != nil && j.Live[e.Task.Index] == nil {
+		j.Complete(now, e.Task.Index)
+	}
+	m.strays[e.Task] = e
+}
+
+func (f *Fleet) observe(now unit.Instant, m *Machine, p *checkpoint.Placement, e Entry, c *Changes) {
+	if p.State == checkpoint.Ended {
+		return
+	}
+	switch e.State {
+	case stateFetching:
+		p.State = checkpoint.Fetching
+	case stateRunning:
+		f.touchImage(now, m, &p.Job.Spec)
+		if p.State != checkpoint.Running {
+			p.State, p.Ran = checkpoint.Running, now
+			c.Started = append(c.Started, Started{p})
+		}
+	case stateFlushing:
+		p.State = checkpoint.Flushing
+	case stateExited:
+		if e.Cause == CauseDone {
+			f.touchImage(now, m, &p.Job.Spec)
+			p.Job.Complete(now, p.Task)
+		}
+		f.end(now, p, true)
+		c.Ended = append(c.Ended, Ended{p, e.Cause, e.Stored})
+	}
+}
+
+// absent handles a placement that a report lacks. Its launch may be on the
+// way, so absence proves something only if the worker has seen a higher seal
+// than any that the launch was sent under: then it will never be executed.
+func (f *Fleet) absent(now unit.Instant, p *checkpoint.Placement, r *Report, c *Changes) {
+	if r.Seal <= p.Seal {
+		return
+	}
+	if p.State == checkpoint.Ended {
+		f.drop(p) // reaped
+		return
+	}
+	if p.Launch && p.Seal == 0 {
+		return // committed under this epoch and not sent yet
+	}
+	f.end(now, p, true)
+	f.drop(p)
+	c.Ended = append(c.Ended, Ended{p, CauseLost, false})
+}
+
+func (f *Fleet) touchImage(now unit.Instant, m *Machine, s *checkpoint.Spec) {
+	m.images[s.Image] = cached{gb: s.ImageGB, used: now}
+	t := f.types[m.Type]
+	if t == nil || t.CacheGB <= 0 {
+		return
+	}
+	for m.cachedGB() > t.CacheGB && len(m.images) > 1 {
+		delete(m.images, m.oldestImage())
+	}
+}
+
+func (m *Machine) cachedGB() float64 {
+	sum := 0.0
+	for _, c := range m.images {
+		sum += c.gb
+	}
+	return sum
+}
+
+func (m *Machine) oldestImage() unit.Image {
+	var oldest unit.Image
+	first := true
+	for i, c := range m.images {
+		if first || c.used < m.images[oldest].used || c.used == m.images[oldest].used && i < oldest {
+			oldest, first = i, false
+		}
+	}
+	return oldest
+}
+
+// endAll ends every placement of the machine, which surely runs none of them.
+func (f *Fleet) endAll(now unit.Instant, m *Machine, c *Changes) {
+	for _, p := range m.Live() {
+		f.end(now, p, true)
+		c.Ended = append(c.Ended, Ended{p, CauseLost, false})
+	}
+	for id := range m.places {
+		delete(m.places, id)
+		f.tombs--
+	}
+	m.strays = map[unit.TaskID]Entry{}
+	m.used = checkpoint.Resources{}
+}
+
+// Remove takes out a machine that is surely gone.
+func (f *Fleet) Remove(now unit.Instant, id unit.MachineID) Changes {
+	var c Changes
+	m := f.machines[id]
+	if m == nil {
+		return c
+	}
+	f.endAll(now, m, &c)
+	m.Gone = true
+	m.Up = false
+	delete(f.machines, id)
+	return c
+}
+
+// LeaseOver tells whether the machine's worker has surely lost its lease: it
+// counts from the last answer that anybody entitled can have given.
+func (f *Fleet) LeaseOver(now unit.Instant, m *Machine) bool {
+	last := max(m.LastAnswer, f.takeover)
+	life := time.Duration(float64(f.times.Lease)*(1+2*drift)) + leaseMargin
+	return now.Sub(last) > life
+}
+
+// Expire ends the placements of machines whose lease has surely run out. Their
+// shift is over, so what they say of it from now on is stale.
+func (f *Fleet) Expire(now unit.Instant) Changes {
+	var c Changes
+	for _, m := range f.Machines() {
+		if !f.LeaseOver(now, m) || (!m.Up && !m.Busy()) {
+			continue
+		}
+		f.endAll(now, m, &c)
+		if m.Shift > 0 {
+			m.Shift, m.Tally = m.Shift+1, 0
+		}
+		m.Up = false
+	}
+	return c
+}
+
+// Halt tells a placement to stop, and notes that it did.
+func (f *Fleet) Halt(p *checkpoint.Placement, leave time.Duration) {
+	if p.State == checkpoint.Ended || p.Halting && leave >= p.Leave {
+		return
+	}
+	p.Halting, p.Leave = true, leave
+	if m := f.machines[p.Machine]; m != nil {
+		m.push = true
+	}
+}
+
+// Push asks for a direct command to the machine.
+func (f *Fleet) Push(id unit.MachineID) {
+	if m := f.machines[id]; m != nil {
+		m.push = true
+	}
+}
+
+// Pushes returns the machines that a direct command is due to, and marks them
+// as being sent one.
+func (f *Fleet) Pushes() []*Machine {
+	var out []*Machine
+	for _, m := range f.machines {
+		if m.push && !m.pushing && m.Up && m.Addr != "" {
+			m.push, m.pushing = false, true
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// Pushed notes that a direct command was answered, or given up.
+func (f *Fleet) Pushed(id unit.MachineID) {
+	if m := f.machines[id]; m != nil {
+		m.pushing = false
+	}
+}
+
+// Orders are the commands the machine is due: halts, launches and, in the
+// answer to a report, reaps. Repeating any of them is harmless: launches and
+// halts name an attempt, and an exit is reaped only when no copy of its launch
+// can still be under way.
+func (f *Fleet) Orders(now unit.Instant, m *Machine, reaps bool) []Order {
+	var halts, launches, rest []Order
+	for _, p := range m.places {
+		switch {
+		case p.State == checkpoint.Ended:
+			if reaps && f.reapable(m, p) {
+				rest = append(rest, Order{Verb: Reap, Task: p.ID(), Attempt: p.Attempt})
+			}
+		case p.Halting:
+			if p.State != checkpoint.Flushing || p.Leave == 0 {
+				halts = append(halts, Order{Verb: Halt, Task: p.ID(), Attempt: p.Attempt, Leave: p.Leave})
+			}
+		case p.State == checkpoint.Pending && p.Launch && p.Shift == m.Shift:
+			p.Seal = f.epoch
+			launches = append(launches, Order{Verb: Launch, Task: p.ID(), Attempt: p.Attempt})
+		}
+	}
+	for id, e := range m.strays {
+		if e.State != stateExited {
+			halts = append(halts, Order{Verb: Halt, Task: id, Attempt: e.Attempt})
+		} else if reaps && f.strayReapable(m, e) {
+			rest = append(rest, Order{Verb: Reap, Task: id, Attempt: e.Attempt})
+		}
+	}
+	return cut(sorted(halts), sorted(launches), sorted(rest))
+}
+
+func sorted(o []Order) []Order {
+	sort.Slice(o, func(a, b int) bool { return less(o[a].Task, o[b].Task) })
+	return o
+}
+
+func cut(lists ...[]Order) []Order {
+	var out []Order
+	for _, l := range lists {
+		out = append(out, l...)
+	}
+	if len(out) > maxOrders {
+		out = out[:maxOrders]
+	}
+	return out
+}
+
+// reapable: the meaning of the exit is stored, and the worker has seen a
+// higher seal than any launch of the attempt was sent under. Late copies of
+// the launch are refused from then on; before, the exit is a tombstone that
+// keeps such a copy from running the task a second time.
+func (f *Fleet) reapable(m *Machine, p *checkpoint.Placement) bool {
+	return p.Job.Stored >= p.EndSeq && m.Seal > p.Seal
+}
+
+// strayReapable: an exit that no placement names was launched under an earlier
+// epoch, so it may go once the worker has seen ours and its job does not wait
+// for it to be stored.
+func (f *Fleet) strayReapable(m *Machine, e Entry) bool {
+	if m.Seal < f.epoch {
+		return false
+	}
+	j := f.jobs(e.Task.Job)
+	return j == nil || !j.Dirty()
+}
