--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,14 +49,23 @@
 	Suspect    int // tasks that failed here in a row
 	Drained    bool
 
-	places  map[unit.TaskID]*checkpoint.Placement
-	strays  map[unit.TaskID]Entry
+	places  map[placeKey]*checkpoint.Placement
+	strays  map[placeKey]Entry // of jobs not known, or a second copy of a task
 	used    checkpoint.Resources
 	images  map[unit.Image]cached
 	pushing bool
 	push    bool
 }
 
+// placeKey tells the attempts of a task apart: the tombstone of one must stay
+// while the next runs.
+type placeKey struct {
+	task    unit.TaskID
+	attempt unit.Attempt
+}
+
+func keyOf(p *checkpoint.Placement) placeKey { return placeKey{p.ID(), p.Attempt} }
+
 type cached struct {
 	gb   float64
 	used unit.Instant
@@ -152,7 +161,7 @@
 	m := f.machines[id]
 	if m == nil {
 		m = &Machine{ID: id, Since: now, Born: now, IdleSince: now,
-			places: map[unit.TaskID]*checkpoint.Placement{}, strays: map[unit.TaskID]Entry{},
+			places: map[placeKey]*checkpoint.Placement{}, strays: map[placeKey]Entry{},
 			images: map[unit.Image]cached{}}
 		f.machines[id] = m
 	}
@@ -171,7 +180,7 @@
 // Placeable tells whether the machine may get tasks.
 func (f *Fleet) Placeable(m *Machine) bool {
 	return m.Up && !m.Releasing && !m.Gone && !m.Failed && m.NoticeAt == 0 && !m.Drained &&
-		len(m.strays) == 0 && f.types[m.Type] != nil
+		!m.strayRuns() && f.types[m.Type] != nil
 }
 
 // Quiet tells whether the machine has missed reports, so that a launch sent
@@ -202,7 +211,7 @@
 			return true
 		}
 	}
-	return len(m.strays) > 0
+	return m.strayRuns()
 }
 
 func less(a, b unit.TaskID) bool {
@@ -215,10 +224,7 @@
 // Place puts a placement on its machine.
 func (f *Fleet) Place(now unit.Instant, p *checkpoint.Placement) {
 	m := f.Ensure(now, p.Machine)
-	if old := m.places[p.ID()]; old != nil && old.State == checkpoint.Ended {
-		f.tombs--
-	}
-	m.places[p.ID()] = p
+	m.places[keyOf(p)] = p
 	m.used = m.used.Plus(p.Job.Spec.Need())
 	p.Job.Start(p, m.Zone)
 }
@@ -248,8 +254,8 @@
 // drop forgets a placement that is over and can't be launched any more.
 func (f *Fleet) drop(p *checkpoint.Placement) {
 	m := f.machines[p.Machine]
-	if m != nil && m.places[p.ID()] == p {
-		delete(m.places, p.ID())
+	if m != nil && m.places[keyOf(p)] == p {
+		delete(m.places, keyOf(p))
 		f.tombs--
 	}
 }
@@ -309,33 +315,64 @@
 
 // match compares the tasks of a report with the placements.
 func (f *Fleet) match(now unit.Instant, m *Machine, r *Report, c *Changes) {
-	seen := make(map[unit.TaskID]bool, len(r.Entries))
-	m.strays = map[unit.TaskID]Entry{}
+	seen := make(map[placeKey]bool, len(r.Entries))
+	m.strays = map[placeKey]Entry{}
 	for _, e := range r.Entries {
-		p := m.places[e.Task]
-		if p == nil || p.Attempt != e.Attempt {
-			f.stray(now, m, e)
-			continue
+		k := placeKey{e.Task, e.Attempt}
+		p := m.places[k]
+		if p == nil {
+			p = f.stray(now, m, k, e)
+		}
+		if p != nil {
+			seen[k] = true
+			f.observe(now, m, p, e, c)
 		}
-		seen[e.Task] = true
-		f.observe(now, m, p, e, c)
 	}
-	for id, p := range m.places {
-		if !seen[id] {
+	for k, p := range m.places {
+		if !seen[k] {
 			f.absent(now, p, r, c)
 		}
 	}
 }
 
-// stray takes in a task that no placement names. An exited one is only reaped;
-// one that may run is halted, and its machine gets nothing until it is gone.
-// A completed one counts: done is done, whoever started it.
-func (f *Fleet) stray(now unit.Instant, m *Machine, e Entry) {
+// stray takes in a task that no placement names, and makes one for it, so that
+// it counts like any other: what may run must not be started elsewhere. If the
+// job is not known, or the task has a placement already, the worker is told to
+// halt it and the machine gets nothing until it is gone.
+func (f *Fleet) stray(now unit.Instant, m *Machine, k placeKey, e Entry) *checkpoint.Placement {
 	j := f.jobs(e.Task.Job)
-	if e.State == stateExited && e.Cause == CauseDone && j != nil && j.Live[e.Task.Index] == nil {
-		j.Complete(now, e.Task.Index)
+	if j == nil || int(e.Task.Index) >= j.Spec.Tasks || (e.State != stateExited && j.Live[e.Task.Index] != nil) {
+		m.strays[k] = e
+		return nil
+	}
+	p := &checkpoint.Placement{Job: j, Task: e.Task.Index, Machine: m.ID, Shift: m.Shift,
+		Attempt: e.Attempt, Seal: f.epoch, Since: now}
+	if e.State == stateExited {
+		if e.Cause == CauseDone {
+			j.Complete(now, p.Task)
+		}
+		p.State, p.EndSeq = checkpoint.Ended, j.Seq
+		m.places[k] = p
+		f.tombs++
+		return p
+	}
+	p.State = checkpoint.Fetching
+	f.Place(now, p)
+	j.Touch(now)
+	if j.Phase.Final() || j.Done.Has(p.Task) {
+		f.Halt(now, p, 0)
 	}
-	m.strays[e.Task] = e
+	return p
+}
+
+// strayRuns tells whether a task that no placement names may run here.
+func (m *Machine) strayRuns() bool {
+	for _, e := range m.strays {
+		if e.State != stateExited {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *Fleet) observe(now unit.Instant, m *Machine, p *checkpoint.Placement, e Entry, c *Changes) {
@@ -422,7 +459,7 @@
 		delete(m.places, id)
 		f.tombs--
 	}
-	m.strays = map[unit.TaskID]Entry{}
+	m.strays = map[placeKey]Entry{}
 	m.used = checkpoint.Resources{}
 }
 
@@ -465,15 +502,18 @@
 	return c
 }
 
-// Halt tells a placement to stop, and notes that it did.
-func (f *Fleet) Halt(p *checkpoint.Placement, leave time.Duration) {
+// Halt tells a placement to stop, saving first if it has leave to. One whose
+// launch has never left is over at once: it is never sent again.
+func (f *Fleet) Halt(now unit.Instant, p *checkpoint.Placement, leave time.Duration) {
 	if p.State == checkpoint.Ended || p.Halting && leave >= p.Leave {
 		return
 	}
 	p.Halting, p.Leave = true, leave
-	if m := f.machines[p.Machine]; m != nil {
-		m.push = true
+	if p.State == checkpoint.Pending && p.Seal == 0 {
+		f.Withdraw(now, p)
+		return
 	}
+	f.Push(p.Machine)
 }
 
 // Push asks for a direct command to the machine.
@@ -525,11 +565,9 @@
 			launches = append(launches, Order{Verb: Launch, Task: p.ID(), Attempt: p.Attempt})
 		}
 	}
-	for id, e := range m.strays {
+	for k, e := range m.strays {
 		if e.State != stateExited {
-			halts = append(halts, Order{Verb: Halt, Task: id, Attempt: e.Attempt})
-		} else if reaps && f.strayReapable(m, e) {
-			rest = append(rest, Order{Verb: Reap, Task: id, Attempt: e.Attempt})
+			halts = append(halts, Order{Verb: Halt, Task: k.task, Attempt: k.attempt})
 		}
 	}
 	return cut(sorted(halts), sorted(launches), sorted(rest))
@@ -558,14 +596,3 @@
 func (f *Fleet) reapable(m *Machine, p *checkpoint.Placement) bool {
 	return p.Job.Stored >= p.EndSeq && m.Seal > p.Seal
 }
-
-// strayReapable: an exit that no placement names was launched under an earlier
-// epoch, so it may go once the worker has seen ours and its job does not wait
-// for it to be stored.
-func (f *Fleet) strayReapable(m *Machine, e Entry) bool {
-	if m.Seal < f.epoch {
-		return false
-	}
-	j := f.jobs(e.Task.Job)
-	return j == nil || !j.Dirty()
-}
