--- /dev/null
+++ b/internal/policy/default.star
@@ -0,0 +1,40 @@
+# The default policy of badgerbay. An operator's script, given with --policy,
+# sets any of these names anew; what it leaves out stays as it is here.
+# Durations are in seconds.
+
+# Leadership: life of the lease, time between renewals, and time between looks
+# at the key by a node that does not lead.
+lease_s = 10
+renew_s = 3
+leader_poll_s = 0.5
+
+# Rounds: least time between two, slots in the ring of records, and how long a
+# checkpoint may lag before it is folded.
+round_gap_s = 0.02
+ring_slots = 32
+fold_age_s = 0.5
+
+# Machines: returned after this long without a task; how long a kind that the
+# cloud had none of is not asked for again; how many times its usual boot time
+# a machine may take, and at least how long, before it is given up; how long a
+# worker may be silent before its machine is given back.
+idle_return_s = 120
+hire_backoff_s = 15
+boot_factor = 4
+boot_floor_s = 60
+silent_release_s = 12
+
+# How often the seal is raised, at most, to make the reaping of exits safe.
+reseal_s = 45
+
+# How long a job waits before it stops work of lower priority; prod and
+# guaranteed work does not wait.
+preempt_after_s = 10
+
+# Room kept free for classes that must start faster than a machine boots: a
+# share of what the class has running, and at least so many tasks.
+spare_share = 0.1
+spare_tasks = 2
+
+# Whether tasks that may use spot machines go there first.
+prefer_spot = True
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,187 @@
+// Package policy reads the operators' own settings: a Starlark script that is
+// evaluated once at start, with its steps bounded, and checked.
+package policy
+
+import (
+	_ "embed"
+	"fmt"
+	"os"
+	"reflect"
+	"sort"
+	"time"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+
+	"badgerbay/internal/unit"
+)
+
+//go:embed default.star
+var defaultScript string
+
+const (
+	maxSteps  = 1_000_000
+	maxScript = 256 << 10
+)
+
+// Policy holds the operators' settings. The tags name the globals of the
+// script; durations are in seconds there.
+type Policy struct {
+	LeaseLife    time.Duration `star:"lease_s" min:"2" max:"60"`
+	LeaseRenew   time.Duration `star:"renew_s" min:"0.5" max:"20"`
+	LeaderPoll   time.Duration `star:"leader_poll_s" min:"0.1" max:"10"`
+	RoundGap     time.Duration `star:"round_gap_s" min:"0.005" max:"5"`
+	FoldAge      time.Duration `star:"fold_age_s" min:"0.05" max:"10"`
+	RingSlots    int           `star:"ring_slots" min:"4" max:"256"`
+	IdleReturn   time.Duration `star:"idle_return_s" min:"5" max:"3600"`
+	HireBackoff  time.Duration `star:"hire_backoff_s" min:"1" max:"600"`
+	BootFactor   float64       `star:"boot_factor" min:"1.5" max:"20"`
+	ReservedBoot time.Duration `star:"boot_floor_s" min:"1" max:"600"`
+	SilentAfter  time.Duration `star:"silent_release_s" min:"5" max:"600"`
+	ResealEvery  time.Duration `star:"reseal_s" min:"5" max:"600"`
+	PreemptAfter time.Duration `star:"preempt_after_s" min:"0" max:"600"`
+	Spare        float64       `star:"spare_share" min:"0" max:"1"`
+	SpareTasks   int           `star:"spare_tasks" min:"0" max:"1000"`
+	PreferSpot   bool          `star:"prefer_spot"`
+}
+
+// Error names the setting that is wrong.
+type Error struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error on one line.
+func (e *Error) Error() string { return "policy." + e.Field + ": " + e.Reason }
+
+// Default returns the embedded policy.
+func Default() (*Policy, error) { return Parse("default.star", defaultScript) }
+
+// Load reads the script at path, over the defaults; "" means the defaults.
+func Load(path string) (*Policy, error) {
+	if path == "" {
+		return Default()
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{"script", err.Error()}
+	}
+	return Parse(path, string(data))
+}
+
+// Parse evaluates a script over the defaults.
+func Parse(name, script string) (*Policy, error) {
+	p := new(Policy)
+	if err := p.apply("default.star", defaultScript); err != nil {
+		return nil, err
+	}
+	if err := p.apply(name, script); err != nil {
+		return nil, err
+	}
+	if p.LeaseRenew*2 > p.LeaseLife {
+		return nil, &Error{"renew_s", "must be at most half of lease_s"}
+	}
+	return p, nil
+}
+
+func (p *Policy) apply(name, script string) error {
+	globals, err := evaluate(name, script)
+	if err != nil {
+		return err
+	}
+	fields := map[string]int{}
+	t := reflect.TypeFor[Policy]()
+	for i := range t.NumField() {
+		fields[t.Field(i).Tag.Get("star")] = i
+	}
+	for _, key := range globals.Keys() {
+		if key[0] == '_' {
+			continue
+		}
+		i, ok := fields[key]
+		if _, isFunc := globals[key].(*starlark.Function); isFunc && !ok {
+			continue
+		}
+		if !ok {
+			return &Error{key, "is not a setting; known are " + fmt.Sprint(known(fields))}
+		}
+		if err := p.set(i, key, globals[key]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func known(fields map[string]int) []string {
+	var out []string
+	for k := range fields {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func evaluate(name, script string) (starlark.StringDict, error) {
+	if len(script) > maxScript {
+		return nil, &Error{"script", fmt.Sprintf("larger than %d bytes", maxScript)}
+	}
+	thread := &starlark.Thread{Name: name, Print: func(*starlark.Thread, string) {}}
+	thread.SetMaxExecutionSteps(maxSteps)
+	globals, err := starlark.ExecFileOptions(&syntax.FileOptions{TopLevelControl: true}, thread, name, script, nil)
+	if err != nil {
+		return nil, &Error{"script", oneLine(err.Error())}
+	}
+	return globals, nil
+}
+
+func oneLine(s string) string {
+	out := []rune(s)
+	for i, r := range out {
+		if r == '\n' || r == '\r' {
+			out[i] = ' '
+		}
+	}
+	return string(out)
+}
+
+func (p *Policy) set(i int, key string, v starlark.Value) error {
+	field := reflect.ValueOf(p).Elem().Field(i)
+	if field.Kind() == reflect.Bool {
+		b, ok := v.(starlark.Bool)
+		if !ok {
+			return &Error{key, "must be True or False, not " + v.Type()}
+		}
+		field.SetBool(bool(b))
+		return nil
+	}
+	x, ok := starlark.AsFloat(v)
+	if _, isBool := v.(starlark.Bool); !ok || isBool {
+		return &Error{key, "must be a number, not " + v.Type()}
+	}
+	if err := checkRange(i, key, x); err != nil {
+		return err
+	}
+	switch field.Interface().(type) {
+	case time.Duration:
+		field.SetInt(int64(unit.Seconds(x)))
+	case int:
+		if x != float64(int(x)) {
+			return &Error{key, "must be a whole number"}
+		}
+		field.SetInt(int64(x))
+	default:
+		field.SetFloat(x)
+	}
+	return nil
+}
+
+func checkRange(i int, key string, x float64) error {
+	tag := reflect.TypeFor[Policy]().Field(i).Tag
+	var low, high float64
+	fmt.Sscan(tag.Get("min"), &low)
+	fmt.Sscan(tag.Get("max"), &high)
+	if !(x >= low && x <= high) {
+		return &Error{key, fmt.Sprintf("%v is not between %v and %v", x, low, high)}
+	}
+	return nil
+}
