--- /dev/null
+++ b/internal/round/plan.go
@@ -0,0 +1,429 @@
+package round
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/policy"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/unit"
+)
+
+// Coming is a machine that has been rented, or is being rented, and is not up.
+type Coming struct {
+	Offer rental.Offer
+	Born  unit.Instant
+}
+
+// World is what a round is planned from.
+type World struct {
+	Now        unit.Instant
+	WallMs     int64
+	No         unit.RoundNo
+	Epoch      unit.Epoch
+	Jobs       []*checkpoint.Job // those with tasks to place; any order
+	All        []*checkpoint.Job // those with placements
+	Fleet      *fleet.Fleet
+	Types      []*fleet.Type
+	Zones      []unit.Zone
+	Teams      map[unit.Team]config.Team
+	Waits      map[unit.Class]time.Duration // objectives: start within
+	Coming     []Coming
+	Blocked    func(rental.Offer) bool
+	MayHire    bool
+	Policy     *policy.Policy
+	ValueBytes int
+	SpecSize   func(*checkpoint.Job) int
+	Lease      time.Duration
+}
+
+// Stop is a placement to be stopped to make room.
+type Stop struct{ Placement *checkpoint.Placement }
+
+// Plan is what a round decides.
+type Plan struct {
+	Record Record
+	Stops  []Stop
+	// Short counts the tasks that found no room.
+	Short int
+	// Reason a hire was made for, for the log.
+	HireFor unit.JobID
+}
+
+type bin struct {
+	m    *fleet.Machine // nil: coming
+	typ  *fleet.Type
+	zone unit.Zone
+	spot bool
+	free checkpoint.Resources
+}
+
+type planner struct {
+	w     *World
+	plan  *Plan
+	size  int
+	bins  []*bin
+	come  []*bin
+	usage map[unit.Team]checkpoint.Resources
+	queue []*checkpoint.Job
+	added map[*checkpoint.Job]map[unit.Zone]int // tasks given a place in this plan
+	taken map[*checkpoint.Placement]bool
+	full  bool
+}
+
+// Make plans a round. It changes nothing it is given.
+func Make(w *World) *Plan {
+	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{},
+		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
+	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
+	p.size = p.plan.Record.SizeOf()
+	p.countUsage()
+	p.order()
+	p.makeBins()
+	var short []shortage
+	for _, j := range p.queue {
+		if n := p.placeJob(j); n > 0 && !p.full {
+			short = append(short, shortage{j, n})
+		}
+	}
+	p.rent(short)
+	return p.plan
+}
+
+type shortage struct {
+	job *checkpoint.Job
+	n   int
+}
+
+func (p *planner) countUsage() {
+	for _, j := range p.w.All {
+		p.usage[j.Spec.Team] = p.usage[j.Spec.Team].Plus(j.Spec.Need().Times(len(j.Live)))
+	}
+}
+
+// order sorts the jobs: by priority, then work within a team's guarantee
+// first, then arrival.
+func (p *planner) order() {
+	p.queue = append(p.queue, p.w.Jobs...)
+	within := map[*checkpoint.Job]bool{}
+	for _, j := range p.queue {
+		within[j] = p.withinGuarantee(j)
+	}
+	sort.SliceStable(p.queue, func(a, b int) bool {
+		x, y := p.queue[a], p.queue[b]
+		switch {
+		case x.Spec.Priority != y.Spec.Priority:
+			return x.Spec.Priority > y.Spec.Priority
+		case within[x] != within[y]:
+			return within[x]
+		case x.Accepted != y.Accepted:
+			return x.Accepted < y.Accepted
+		}
+		return x.ID < y.ID
+	})
+}
+
+// withinGuarantee tells whether one more task of the job keeps its team within
+// its guarantee.
+func (p *planner) withinGuarantee(j *checkpoint.Job) bool {
+	t := p.w.Teams[j.Spec.Team]
+	after := p.usage[j.Spec.Team].Plus(j.Spec.Need())
+	return t.CPUs > 0 && after.CPUs <= t.CPUs+1e-6 && (after.GPUs == 0 || after.GPUs <= t.GPUs+1e-6)
+}
+
+// quota tells how many more tasks of the job its team's limit allows.
+func (p *planner) quota(j *checkpoint.Job) int {
+	t, used := p.w.Teams[j.Spec.Team], p.usage[j.Spec.Team]
+	n := math.MaxInt32
+	if t.CPUsMax > 0 && j.Spec.CPUs > 0 {
+		n = min(n, int((t.CPUsMax-used.CPUs+1e-6)/j.Spec.CPUs))
+	}
+	if t.GPUsMax > 0 && j.Spec.GPUs > 0 {
+		n = min(n, int((t.GPUsMax-used.GPUs+1e-6)/j.Spec.GPUs))
+	}
+	return max(0, n)
+}
+
+func (p *planner) makeBins() {
+	for _, m := range p.w.Fleet.Machines() {
+		if p.w.Fleet.Placeable(m) && !p.w.Fleet.Quiet(p.w.Now, m) {
+			p.bins = append(p.bins, &bin{m: m, typ: p.w.Fleet.Type(m.Type), zone: m.Zone, spot: m.Spot, free: p.w.Fleet.Free(m)})
+		}
+	}
+	for _, c := range p.w.Coming {
+		if t := p.w.Fleet.Type(c.Offer.Type); t != nil {
+			p.come = append(p.come, &bin{typ: t, zone: c.Offer.Zone, spot: c.Offer.Spot, free: t.Capacity})
+		}
+	}
+}
+
+func (p *planner) zoneCount(j *checkpoint.Job, z unit.Zone) int { return j.ByZone[z] + p.added[j][z] }
+
+// zoneRoom tells how many more tasks of the job may be in the zone, given
+// where its other tasks are or are about to be.
+func (p *planner) zoneRoom(j *checkpoint.Job, z unit.Zone) int {
+	if j.Spec.OneZone {
+		for other, n := range j.ByZone {
+			if n > 0 && other != z {
+				return 0
+			}
+		}
+		for other, n := range p.added[j] {
+			if n > 0 && other != z {
+				return 0
+			}
+		}
+	}
+	if !j.Spec.Spread {
+		return math.MaxInt32
+	}
+	return max(0, j.Spec.ZoneCap()-p.zoneCount(j, z))
+}
+
+// placeJob starts as many of the job's tasks as fit, and returns how many that
+// could start by its limits found no room.
+func (p *planner) placeJob(j *checkpoint.Job) int {
+	left := min(j.Queue.Len(), p.quota(j), j.Room(p.w.ValueBytes, p.w.SpecSize(j)))
+	if left <= 0 || p.full {
+		return 0
+	}
+	tasks := queued(j, left)
+	bins := p.ranked(j)
+	for _, b := range bins {
+		if len(tasks) == 0 || p.full {
+			break
+		}
+		n := min(len(tasks), fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone))
+		if n > 0 {
+			n = p.start(j, b, tasks[:n])
+			tasks = tasks[n:]
+		}
+	}
+	if len(tasks) == 0 || p.full {
+		return 0
+	}
+	return p.noRoom(j, len(tasks))
+}
+
+func queued(j *checkpoint.Job, n int) []unit.TaskIndex {
+	out := make([]unit.TaskIndex, 0, n)
+	j.Queue.Each(func(i unit.TaskIndex) bool {
+		out = append(out, i)
+		return len(out) < n
+	})
+	return out
+}
+
+func fitCount(free, need checkpoint.Resources) int {
+	n := math.MaxInt32
+	if need.CPUs > 0 {
+		n = min(n, int((free.CPUs+1e-6)/need.CPUs))
+	}
+	if need.GPUs > 0 {
+		n = min(n, int((free.GPUs+1e-6)/need.GPUs))
+	}
+	if need.MemoryGB > 0 {
+		n = min(n, int((free.MemoryGB+1e-6)/need.MemoryGB))
+	}
+	return max(0, n)
+}
+
+// allowed tells whether the bin may take the job's tasks.
+func (p *planner) allowed(j *checkpoint.Job, b *bin) bool {
+	if !j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+		return false
+	}
+	if b.m == nil {
+		return true
+	}
+	until, bad := j.Avoid[b.m.ID]
+	return !bad || until.Before(p.w.Now)
+}
+
+// ranked returns the bins for the job, best first: those that hold the image,
+// then spot machines for tasks that may use them, then the most free room.
+func (p *planner) ranked(j *checkpoint.Job) []*bin {
+	need := j.Spec.Need()
+	var out []*bin
+	for _, b := range p.bins {
+		if b.free.Fits(need) && p.allowed(j, b) {
+			out = append(out, b)
+		}
+	}
+	sort.SliceStable(out, func(a, c int) bool {
+		x, y := out[a], out[c]
+		if hx, hy := x.m.HasImage(j.Spec.Image), y.m.HasImage(j.Spec.Image); hx != hy {
+			return hx
+		}
+		if p.w.Policy.PreferSpot && x.spot != y.spot {
+			return x.spot
+		}
+		return x.free.CPUs > y.free.CPUs
+	})
+	return out
+}
+
+// start adds a group to the record, as far as the record has room, and
+// returns how many tasks it took.
+func (p *planner) start(j *checkpoint.Job, b *bin, tasks []unit.TaskIndex) int {
+	st := Start{Job: j.ID, Machine: b.m.ID, Shift: b.m.Shift}
+	for _, i := range tasks {
+		st.Tasks.Add(i)
+	}
+	// Room is kept for one rental.
+	if p.size+st.SizeOf()+2*hireSize > p.w.ValueBytes {
+		p.full = true
+		return 0
+	}
+	p.size += st.SizeOf()
+	p.plan.Record.Starts = append(p.plan.Record.Starts, st)
+	p.take(j, b, len(tasks))
+	return len(tasks)
+}
+
+func (p *planner) take(j *checkpoint.Job, b *bin, n int) {
+	b.free = b.free.Minus(j.Spec.Need().Times(n))
+	p.usage[j.Spec.Team] = p.usage[j.Spec.Team].Plus(j.Spec.Need().Times(n))
+	if p.added[j] == nil {
+		p.added[j] = map[unit.Zone]int{}
+	}
+	p.added[j][b.zone] += n
+}
+
+// noRoom handles tasks that fit no free machine: room is made for them by
+// stopping others where the rules allow it; else they wait for machines that
+// are coming. It returns how many need a machine rented.
+func (p *planner) noRoom(j *checkpoint.Job, n int) int {
+	p.plan.Short += n
+	if p.mayPreempt(j) {
+		for n > 0 && p.makeRoom(j) {
+			n--
+		}
+	}
+	for _, b := range p.come {
+		if n == 0 {
+			break
+		}
+		if !j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+			continue
+		}
+		k := min(n, fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone))
+		p.take(j, b, k)
+		n -= k
+	}
+	return n
+}
+
+func (p *planner) mayPreempt(j *checkpoint.Job) bool {
+	if j.Spec.Priority >= checkpoint.High || p.withinGuarantee(j) {
+		return true
+	}
+	return p.w.Now.Sub(j.QueuedAt) >= p.w.Policy.PreemptAfter
+}
+
+// makeRoom finds the machine where room for one task of the job costs least
+// work, and stops what is in its way. Room that is already being made, or is
+// left there, is kept for the job.
+func (p *planner) makeRoom(j *checkpoint.Job) bool {
+	var best *bin
+	var bestStops []*checkpoint.Placement
+	bestCost := math.Inf(1)
+	for _, b := range p.bins {
+		if !p.allowed(j, b) || p.zoneRoom(j, b.zone) == 0 {
+			continue
+		}
+		stops, cost, ok := p.victims(j, b)
+		if !b.m.HasImage(j.Spec.Image) {
+			cost += 1 + j.Spec.ImageGB*4
+		}
+		if ok && cost < bestCost {
+			best, bestStops, bestCost = b, stops, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, v := range bestStops {
+		p.taken[v] = true
+		best.free = best.free.Plus(v.Job.Spec.Need())
+		if !v.Halting {
+			p.plan.Stops = append(p.plan.Stops, Stop{v})
+			p.usage[v.Job.Spec.Team] = p.usage[v.Job.Spec.Team].Minus(v.Job.Spec.Need())
+		}
+	}
+	p.take(j, best, 1)
+	return true
+}
+
+// victims returns what must stop on the bin's machine to fit one task of the
+// job, and what it costs in CPU seconds of lost work.
+func (p *planner) victims(j *checkpoint.Job, b *bin) ([]*checkpoint.Placement, float64, bool) {
+	need := j.Spec.Need()
+	if !b.typ.Capacity.Fits(need) {
+		return nil, 0, false
+	}
+	free, cost := b.free, 0.0
+	var out []*checkpoint.Placement
+	for _, v := range p.candidates(j, b) {
+		if free.Fits(need) {
+			break
+		}
+		out = append(out, v)
+		free = free.Plus(v.Job.Spec.Need())
+		cost += p.lost(v)
+	}
+	return out, cost, free.Fits(need)
+}
+
+// candidates lists what may be stopped for the job: first what is stopping
+// already, then the lowest priority, then what loses least.
+func (p *planner) candidates(j *checkpoint.Job, b *bin) []*checkpoint.Placement {
+	var out []*checkpoint.Placement
+	for _, v := range b.m.Live() {
+		if !p.taken[v] && (v.Halting || p.mayStop(j, v)) {
+			out = append(out, v)
+		}
+	}
+	sort.SliceStable(out, func(a, c int) bool {
+		x, y := out[a], out[c]
+		if x.Halting != y.Halting {
+			return x.Halting
+		}
+		if x.Job.Spec.Priority != y.Job.Spec.Priority {
+			return x.Job.Spec.Priority < y.Job.Spec.Priority
+		}
+		return p.lost(x) < p.lost(y)
+	})
+	return out
+}
+
+func (p *planner) mayStop(j *checkpoint.Job, v *checkpoint.Placement) bool {
+	if v.Job.Spec.Priority < j.Spec.Priority {
+		return true
+	}
+	if v.Job.Spec.Team == j.Spec.Team || !p.withinGuarantee(j) {
+		return false
+	}
+	t := p.w.Teams[v.Job.Spec.Team]
+	// Stopping it must leave its team no less than its guarantee.
+	return p.usage[v.Job.Spec.Team].Minus(v.Job.Spec.Need()).CPUs >= t.CPUs-1e-6
+}
+
+// lost is the work, in CPU seconds, that stopping a placement throws away.
+func (p *planner) lost(v *checkpoint.Placement) float64 {
+	if v.Halting {
+		return 0
+	}
+	s := &v.Job.Spec
+	if v.State != checkpoint.Running {
+		return 0.5 * s.CPUs
+	}
+	if s.CheckpointS > 0 {
+		return (1 + s.SaveS) * s.CPUs
+	}
+	return (1 + p.w.Now.Sub(v.Ran).Seconds()) * s.CPUs
+}
--- /dev/null
+++ b/internal/round/rent.go
@@ -0,0 +1,137 @@
+package round
+
+import (
+	"math"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/unit"
+)
+
+// serviceHorizon is the run time, in seconds, over which the boot of a machine
+// is weighed for tasks whose own run time is not known.
+const serviceHorizon = 300
+
+// rent decides on at most one rental: the best offer for the first job that
+// found no room, as many machines as that job and those behind it fill.
+func (p *planner) rent(short []shortage) {
+	if !p.w.MayHire {
+		return
+	}
+	for i, s := range short {
+		offer, typ := p.bestOffer(s.job)
+		if typ == nil {
+			continue
+		}
+		count := p.fill(short[i:], offer, typ)
+		if count > 0 {
+			p.plan.HireFor = s.job.ID
+			p.plan.Record.Hires = []Hire{{Name: HireName(p.w.Epoch, p.w.No, 0), Offer: offer, Count: count}}
+			return
+		}
+	}
+}
+
+// fill tells how many machines of the offer the tasks in need of one take.
+func (p *planner) fill(short []shortage, o rental.Offer, t *fleet.Type) int {
+	free := checkpoint.Resources{}
+	count := 0
+	for i, s := range short {
+		if i > 0 {
+			if best, _ := p.bestOffer(s.job); best != o {
+				continue
+			}
+		}
+		n := min(s.n, p.zoneRoom(s.job, o.Zone))
+		for ; n > 0; n-- {
+			if !free.Fits(s.job.Spec.Need()) {
+				if count == rental.MaxHire {
+					return count
+				}
+				count++
+				free = t.Capacity
+			}
+			free = free.Minus(s.job.Spec.Need())
+		}
+	}
+	return count
+}
+
+// bestOffer returns the offer that runs the job's tasks at the least cost,
+// boot and fetch included; offers that can't make its deadline come last.
+func (p *planner) bestOffer(j *checkpoint.Job) (rental.Offer, *fleet.Type) {
+	var best rental.Offer
+	var bestType *fleet.Type
+	bestCost := math.Inf(1)
+	for _, t := range p.w.Types {
+		for _, z := range p.zonesOf(t) {
+			for _, spot := range []bool{true, false} {
+				o := rental.Offer{Type: t.Name, Zone: z, Spot: spot}
+				if !j.Spec.Allows(t.Name, z, spot) || p.zoneRoom(j, z) == 0 || p.w.Blocked(o) {
+					continue
+				}
+				if cost := p.cost(j, t, z, spot); cost < bestCost {
+					best, bestType, bestCost = o, t, cost
+				}
+			}
+		}
+	}
+	return best, bestType
+}
+
+func (p *planner) zonesOf(t *fleet.Type) []unit.Zone {
+	if len(t.Zones) > 0 {
+		return t.Zones
+	}
+	return p.w.Zones
+}
+
+func (p *planner) cost(j *checkpoint.Job, t *fleet.Type, z unit.Zone, spot bool) float64 {
+	per := fitCount(t.Capacity, j.Spec.Need())
+	if per == 0 {
+		return math.Inf(1)
+	}
+	price := t.Price
+	if spot {
+		price = t.SpotPrice
+	}
+	run := j.Spec.EstimateS
+	if j.Spec.Service || run <= 0 {
+		run = serviceHorizon
+	}
+	wait := t.Boot.Seconds()
+	if t.FetchGBps > 0 {
+		wait += j.Spec.ImageGB / t.FetchGBps
+	}
+	// A machine that the job fills only in part is paid for in whole.
+	filled := min(per, max(1, j.Queue.Len()))
+	cost := price / float64(filled) * (run + wait) / run
+	if left, has := p.timeLeft(j); has && run+wait > left {
+		cost *= 1 + (run+wait-left)/run
+	}
+	// A second zone spreads the risk; the fewest machines first.
+	return cost * (1 + 0.001*float64(p.zoneMachines(z)))
+}
+
+func (p *planner) timeLeft(j *checkpoint.Job) (float64, bool) {
+	if j.Spec.DeadlineS <= 0 {
+		return 0, false
+	}
+	return j.Spec.DeadlineS - float64(p.w.WallMs-j.Accepted)/1000, true
+}
+
+func (p *planner) zoneMachines(z unit.Zone) int {
+	n := 0
+	for _, b := range p.bins {
+		if b.zone == z {
+			n++
+		}
+	}
+	for _, b := range p.come {
+		if b.zone == z {
+			n++
+		}
+	}
+	return n
+}
