--- a/internal/checkpoint/record.go
+++ b/internal/checkpoint/record.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
 )
 
 // KeyPrefix begins the keys of the job records.
@@ -50,15 +51,15 @@
 
 // Record is the value of job/ID: the spec and the checkpoint.
 type Record struct {
-	Schema   int          `msgpack:"v" json:"v"`
-	Spec     Spec         `msgpack:"spec" json:"spec"`
-	Accepted int64        `msgpack:"at" json:"at"` // time of day, ms
-	Phase    Phase        `msgpack:"ph" json:"ph"`
-	Epoch    unit.Epoch   `msgpack:"e" json:"e"`
-	Round    unit.RoundNo `msgpack:"r" json:"r"` // the last round folded in
-	Done     unit.Ranges  `msgpack:"d,omitempty" json:"d,omitempty"`
-	Live     []Group      `msgpack:"l,omitempty" json:"l,omitempty"`
-	Next     Action       `msgpack:"nx" json:"nx"`
+	Schema   int              `msgpack:"v" json:"v"`
+	Spec     Spec             `msgpack:"spec" json:"spec"`
+	Accepted int64            `msgpack:"at" json:"at"` // time of day, ms
+	Phase    Phase            `msgpack:"ph" json:"ph"`
+	Epoch    unit.Epoch       `msgpack:"e" json:"e"`
+	Round    unit.RoundNo     `msgpack:"r" json:"r"` // the last round folded in
+	Done     unit.Ranges      `msgpack:"d,omitempty" json:"d,omitempty"`
+	Live     wire.List[Group] `msgpack:"l,omitempty" json:"l,omitempty"`
+	Next     Action           `msgpack:"nx" json:"nx"`
 }
 
 // ErrSchema says that a record was written by a later version.
--- a/internal/checkpoint/spec.go
+++ b/internal/checkpoint/spec.go
@@ -3,7 +3,10 @@
 // is the authority; the Job in memory is the leader's working copy of it.
 package checkpoint
 
-import "badgerbay/internal/unit"
+import (
+	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
+)
 
 // Priority orders jobs; the higher goes first.
 type Priority int
@@ -19,25 +22,25 @@
 // Spec is what the owner asked for. Names are short because every write of
 // the checkpoint carries it.
 type Spec struct {
-	Class       unit.Class         `msgpack:"c" json:"c"`
-	Team        unit.Team          `msgpack:"t" json:"t"`
-	Service     bool               `msgpack:"sv,omitempty" json:"sv,omitempty"`
-	Priority    Priority           `msgpack:"p" json:"p"`
-	Tasks       int                `msgpack:"n" json:"n"`
-	CPUs        float64            `msgpack:"cpu" json:"cpu"`
-	GPUs        float64            `msgpack:"gpu,omitempty" json:"gpu,omitempty"`
-	MemoryGB    float64            `msgpack:"mem" json:"mem"`
-	Types       []unit.MachineType `msgpack:"ty,omitempty" json:"ty,omitempty"`
-	Zone        unit.Zone          `msgpack:"z,omitempty" json:"z,omitempty"`
-	OneZone     bool               `msgpack:"oz,omitempty" json:"oz,omitempty"`
-	Spread      bool               `msgpack:"sp,omitempty" json:"sp,omitempty"`
-	Spot        bool               `msgpack:"spot,omitempty" json:"spot,omitempty"`
-	Image       unit.Image         `msgpack:"im" json:"im"`
-	ImageGB     float64            `msgpack:"ig" json:"ig"`
-	EstimateS   float64            `msgpack:"es" json:"es"`
-	CheckpointS float64            `msgpack:"cs,omitempty" json:"cs,omitempty"`
-	SaveS       float64            `msgpack:"ss,omitempty" json:"ss,omitempty"`
-	DeadlineS   float64            `msgpack:"dl,omitempty" json:"dl,omitempty"`
+	Class       unit.Class                  `msgpack:"c" json:"c"`
+	Team        unit.Team                   `msgpack:"t" json:"t"`
+	Service     bool                        `msgpack:"sv,omitempty" json:"sv,omitempty"`
+	Priority    Priority                    `msgpack:"p" json:"p"`
+	Tasks       int                         `msgpack:"n" json:"n"`
+	CPUs        float64                     `msgpack:"cpu" json:"cpu"`
+	GPUs        float64                     `msgpack:"gpu,omitempty" json:"gpu,omitempty"`
+	MemoryGB    float64                     `msgpack:"mem" json:"mem"`
+	Types       wire.List[unit.MachineType] `msgpack:"ty,omitempty" json:"ty,omitempty"`
+	Zone        unit.Zone                   `msgpack:"z,omitempty" json:"z,omitempty"`
+	OneZone     bool                        `msgpack:"oz,omitempty" json:"oz,omitempty"`
+	Spread      bool                        `msgpack:"sp,omitempty" json:"sp,omitempty"`
+	Spot        bool                        `msgpack:"spot,omitempty" json:"spot,omitempty"`
+	Image       unit.Image                  `msgpack:"im" json:"im"`
+	ImageGB     float64                     `msgpack:"ig" json:"ig"`
+	EstimateS   float64                     `msgpack:"es" json:"es"`
+	CheckpointS float64                     `msgpack:"cs,omitempty" json:"cs,omitempty"`
+	SaveS       float64                     `msgpack:"ss,omitempty" json:"ss,omitempty"`
+	DeadlineS   float64                     `msgpack:"dl,omitempty" json:"dl,omitempty"`
 }
 
 // Resources are an amount of what machines have.
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
 )
 
 // MaxBody bounds the bodies that workers and we exchange.
@@ -50,16 +51,16 @@
 }
 
 type wireReport struct {
-	Shamba  string      `msgpack:"shamba"`
-	Addr    string      `msgpack:"addr"`
-	Frame   string      `msgpack:"frame"`
-	Hall    string      `msgpack:"hall"`
-	Loaner  bool        `msgpack:"loaner"`
-	Shift   unit.Shift  `msgpack:"shift"`
-	Tally   unit.Tally  `msgpack:"tally"`
-	Seal    unit.Epoch  `msgpack:"seal"`
-	RecallS *float64    `msgpack:"recallS"`
-	Entries []wireEntry `msgpack:"entries"`
+	Shamba  string               `msgpack:"shamba"`
+	Addr    string               `msgpack:"addr"`
+	Frame   string               `msgpack:"frame"`
+	Hall    string               `msgpack:"hall"`
+	Loaner  bool                 `msgpack:"loaner"`
+	Shift   unit.Shift           `msgpack:"shift"`
+	Tally   unit.Tally           `msgpack:"tally"`
+	Seal    unit.Epoch           `msgpack:"seal"`
+	RecallS *float64             `msgpack:"recallS"`
+	Entries wire.List[wireEntry] `msgpack:"entries"`
 }
 
 type wireOrder struct {
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -18,6 +18,7 @@
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
 )
 
 // Errors of the cloud. ErrUncertain: the request may have been executed, or
@@ -67,16 +68,16 @@
 }
 
 type wireFlavor struct {
-	Label        string      `msgpack:"label"`
-	CPUs         float64     `msgpack:"cpus"`
-	Accelerators float64     `msgpack:"accelerators"`
-	MemoryGB     float64     `msgpack:"memoryGb"`
-	LocalGB      float64     `msgpack:"localGb"`
-	FetchGBps    float64     `msgpack:"fetchGbPerS"`
-	Hourly       float64     `msgpack:"hourly"`
-	MarketPrice  float64     `msgpack:"marketPrice"`
-	ReadyS       float64     `msgpack:"readyS"`
-	Halls        []unit.Zone `msgpack:"halls"`
+	Label        string               `msgpack:"label"`
+	CPUs         float64              `msgpack:"cpus"`
+	Accelerators float64              `msgpack:"accelerators"`
+	MemoryGB     float64              `msgpack:"memoryGb"`
+	LocalGB      float64              `msgpack:"localGb"`
+	FetchGBps    float64              `msgpack:"fetchGbPerS"`
+	Hourly       float64              `msgpack:"hourly"`
+	MarketPrice  float64              `msgpack:"marketPrice"`
+	ReadyS       float64              `msgpack:"readyS"`
+	Halls        wire.List[unit.Zone] `msgpack:"halls"`
 }
 
 type wireHire struct {
@@ -88,17 +89,17 @@
 }
 
 type wireNames struct {
-	Shambas []unit.MachineID `msgpack:"shambas"`
+	Shambas wire.List[unit.MachineID] `msgpack:"shambas"`
 }
 
 type wireCloud struct {
-	Frames []wireFlavor `msgpack:"frames"`
-	Error  string       `msgpack:"error"`
+	Frames wire.List[wireFlavor] `msgpack:"frames"`
+	Error  string                `msgpack:"error"`
 }
 
 type wireList struct {
-	Shambas []Listed `msgpack:"shambas"`
-	More    bool     `msgpack:"more"`
+	Shambas wire.List[Listed] `msgpack:"shambas"`
+	More    bool              `msgpack:"more"`
 }
 
 // Cloud speaks to the cloud.
--- a/internal/round/record.go
+++ b/internal/round/record.go
@@ -13,6 +13,7 @@
 
 	"badgerbay/internal/rental"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
 )
 
 // KeyPrefix begins the keys of the ring of round records.
@@ -40,13 +41,13 @@
 // Record is the value of round/SLOT: effects that are pending until folded.
 // Every round below Low has been settled.
 type Record struct {
-	Schema   int              `msgpack:"v" json:"v"`
-	No       unit.RoundNo     `msgpack:"no" json:"no"`
-	Epoch    unit.Epoch       `msgpack:"e" json:"e"`
-	Low      unit.RoundNo     `msgpack:"lo" json:"lo"`
-	Starts   []Start          `msgpack:"st,omitempty" json:"st,omitempty"`
-	Hires    []Hire           `msgpack:"hi,omitempty" json:"hi,omitempty"`
-	Releases []unit.MachineID `msgpack:"re,omitempty" json:"re,omitempty"`
+	Schema   int                       `msgpack:"v" json:"v"`
+	No       unit.RoundNo              `msgpack:"no" json:"no"`
+	Epoch    unit.Epoch                `msgpack:"e" json:"e"`
+	Low      unit.RoundNo              `msgpack:"lo" json:"lo"`
+	Starts   wire.List[Start]          `msgpack:"st,omitempty" json:"st,omitempty"`
+	Hires    wire.List[Hire]           `msgpack:"hi,omitempty" json:"hi,omitempty"`
+	Releases wire.List[unit.MachineID] `msgpack:"re,omitempty" json:"re,omitempty"`
 }
 
 // ErrSchema says that a record was written by a later version.
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -18,6 +18,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
 )
 
 // Errors of the state service. ErrUncertain means that the request may have
@@ -105,11 +106,11 @@
 	Key       string             `msgpack:"key"`
 	Value     msgpack.RawMessage `msgpack:"value"`
 	Stamp     unit.Version       `msgpack:"stamp"`
-	Pairs     []Item             `msgpack:"pairs"`
+	Pairs     wire.List[Item]    `msgpack:"pairs"`
 	More      bool               `msgpack:"more"`
-	Failed    []string           `msgpack:"failed"`
+	Failed    wire.List[string]  `msgpack:"failed"`
 	Tenure    unit.Tenure        `msgpack:"tenure"`
-	Log       []Change           `msgpack:"log"`
+	Log       wire.List[Change]  `msgpack:"log"`
 	Error     string             `msgpack:"error"`
 }
 
--- a/internal/unit/ranges.go
+++ b/internal/unit/ranges.go
@@ -1,6 +1,11 @@
 package unit
 
-import "sort"
+import (
+	"errors"
+	"sort"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // Span is the run of task indexes from First to Last, both included. It is
 // encoded as a list of two numbers.
@@ -17,6 +22,29 @@
 // spans. The zero value is the empty set.
 type Ranges []Span
 
+// maxSpans bounds what is read back of a set.
+const maxSpans = 1 << 16
+
+// DecodeMsgpack reads a set, allocating no more than is there.
+func (r *Ranges) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n > maxSpans {
+		return errors.New("set of too many spans")
+	}
+	*r = nil
+	for range max(n, 0) {
+		var s Span
+		if err := d.Decode(&s); err != nil {
+			return err
+		}
+		*r = append(*r, s)
+	}
+	return nil
+}
+
 // Full returns the set of the first n indexes.
 func Full(n int) Ranges {
 	if n <= 0 {
--- /dev/null
+++ b/internal/unit/unit_test.go
@@ -0,0 +1,73 @@
+package unit
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+// TestRangesAgainstSet compares Ranges with a plain set under random changes.
+func TestRangesAgainstSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 40
+		var r Ranges
+		set := map[TaskIndex]bool{}
+		for _, step := range rapid.SliceOf(rapid.IntRange(-n, n-1)).Draw(t, "steps") {
+			if step >= 0 {
+				i := TaskIndex(step)
+				if r.Add(i) == set[i] {
+					t.Fatalf("Add(%d) misjudged", i)
+				}
+				set[i] = true
+			} else {
+				i := TaskIndex(-step - 1)
+				if r.Remove(i) != set[i] {
+					t.Fatalf("Remove(%d) misjudged", i)
+				}
+				delete(set, i)
+			}
+			if !r.Valid(n) {
+				t.Fatalf("not normal: %v", r)
+			}
+		}
+		if r.Len() != len(set) {
+			t.Fatalf("Len %d, want %d", r.Len(), len(set))
+		}
+		for i := range TaskIndex(n) {
+			if r.Has(i) != set[i] {
+				t.Fatalf("Has(%d) = %v", i, r.Has(i))
+			}
+		}
+	})
+}
+
+func TestRangesRoundTrip(t *testing.T) {
+	in := Ranges{{First: 0, Last: 3}, {First: 5, Last: 5}}
+	data, err := msgpack.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out Ranges
+	if err := msgpack.Unmarshal(data, &out); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(in, out, cmp.AllowUnexported(Span{})); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestParseTaskID(t *testing.T) {
+	for _, s := range []string{"wk-000412/3", "wk-1234567/0"} {
+		id, err := ParseTaskID(s)
+		if err != nil || id.String() != s {
+			t.Errorf("%q: %v, %v", s, id, err)
+		}
+	}
+	for _, s := range []string{"", "wk-000412", "wk-000412/", "wk-000412/-1", "wk-00x412/1", "wk-000412/9999999999", "job-000412/1"} {
+		if id, err := ParseTaskID(s); err == nil {
+			t.Errorf("%q read as %v", s, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,192 @@
+// Package wire holds what the decoders of outside messages share. The library
+// that reads MessagePack allocates what a list claims to hold before reading
+// it, and coerces types; these types bound the one and refuse the other.
+package wire
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// maxElements bounds a list whatever it claims.
+const maxElements = 1 << 17
+
+// maxDepth bounds how deep a value that is skipped may nest.
+const maxDepth = 16
+
+// List is a list whose memory grows with what is read, not with what the
+// message claims.
+type List[T any] []T
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (l *List[T]) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n > maxElements {
+		return fmt.Errorf("list of %d elements", n)
+	}
+	*l = nil
+	for range max(n, 0) {
+		var v T
+		if err := d.Decode(&v); err != nil {
+			return err
+		}
+		*l = append(*l, v)
+	}
+	return nil
+}
+
+// Skip passes over a value that nests no deeper than allowed.
+func Skip(d *msgpack.Decoder) error { return skip(d, 0) }
+
+func skip(d *msgpack.Decoder, depth int) error {
+	code, err := d.PeekCode()
+	if err != nil {
+		return err
+	}
+	n := 0
+	switch {
+	case msgpcode.IsFixedMap(code) || code == msgpcode.Map16 || code == msgpcode.Map32:
+		n, err = d.DecodeMapLen()
+		n *= 2
+	case msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32:
+		n, err = d.DecodeArrayLen()
+	default:
+		return d.Skip()
+	}
+	if err != nil {
+		return err
+	}
+	if depth == maxDepth {
+		return fmt.Errorf("nested deeper than %d", maxDepth)
+	}
+	for range max(n, 0) {
+		if err := skip(d, depth+1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Map reads a map with text keys, handing each value to the reader of its key;
+// what has no reader is skipped.
+func Map(d *msgpack.Decoder, fields map[string]func(*msgpack.Decoder) error) error {
+	code, err := d.PeekCode()
+	if err != nil {
+		return err
+	}
+	if !msgpcode.IsFixedMap(code) && code != msgpcode.Map16 && code != msgpcode.Map32 {
+		return fmt.Errorf("not a map")
+	}
+	n, err := d.DecodeMapLen()
+	if err != nil {
+		return err
+	}
+	for range n {
+		key, err := Text(d)
+		if err != nil {
+			return err
+		}
+		read := fields[key]
+		if read == nil {
+			read = Skip
+		}
+		if err := read(d); err != nil {
+			return fmt.Errorf("%.40s: %w", key, err)
+		}
+	}
+	return nil
+}
+
+// Null tells whether the next value is null, and passes over it if so.
+func Null(d *msgpack.Decoder) (bool, error) {
+	code, err := d.PeekCode()
+	if err != nil || code != msgpcode.Nil {
+		return false, err
+	}
+	return true, d.DecodeNil()
+}
+
+// Text reads a text.
+func Text(d *msgpack.Decoder) (string, error) {
+	code, err := d.PeekCode()
+	if err != nil {
+		return "", err
+	}
+	if !msgpcode.IsString(code) {
+		return "", fmt.Errorf("not a text")
+	}
+	return d.DecodeString()
+}
+
+// Bool reads a truth value.
+func Bool(d *msgpack.Decoder) (bool, error) {
+	code, err := d.PeekCode()
+	if err != nil {
+		return false, err
+	}
+	if code != msgpcode.True && code != msgpcode.False {
+		return false, fmt.Errorf("not a truth value")
+	}
+	return d.DecodeBool()
+}
+
+// Amount reads a decimal number that is not negative. Whole numbers are
+// decimal numbers too.
+func Amount(d *msgpack.Decoder) (float64, error) {
+	code, err := d.PeekCode()
+	if err != nil {
+		return 0, err
+	}
+	if !isInt(code) && code != msgpcode.Float && code != msgpcode.Double {
+		return 0, fmt.Errorf("not a number")
+	}
+	v, err := d.DecodeFloat64()
+	if err != nil {
+		return 0, err
+	}
+	if !(v >= 0) || math.IsInf(v, 0) {
+		return 0, fmt.Errorf("%v is not an amount", v)
+	}
+	return v, nil
+}
+
+// Count reads a whole number that is not negative.
+func Count(d *msgpack.Decoder) (uint64, error) {
+	code, err := d.PeekCode()
+	if err != nil {
+		return 0, err
+	}
+	if !isInt(code) {
+		return 0, fmt.Errorf("not a whole number")
+	}
+	if isSigned(code) {
+		v, err := d.DecodeInt64()
+		if err == nil && v < 0 {
+			err = fmt.Errorf("%d is negative", v)
+		}
+		return uint64(max(v, 0)), err
+	}
+	return d.DecodeUint64()
+}
+
+func isInt(code byte) bool {
+	switch code {
+	case msgpcode.Uint8, msgpcode.Uint16, msgpcode.Uint32, msgpcode.Uint64:
+		return true
+	}
+	return isSigned(code)
+}
+
+func isSigned(code byte) bool {
+	switch code {
+	case msgpcode.Int8, msgpcode.Int16, msgpcode.Int32, msgpcode.Int64:
+		return true
+	}
+	return msgpcode.IsFixedNum(code)
+}
