--- /dev/null
+++ b/internal/controller/messages.go
@@ -0,0 +1,181 @@
+// Package controller composes the slices into one node. Core is the state
+// machine of a node: inputs go in, effects come out, and nothing else happens
+// in it. Node runs it as an actor and carries the effects out.
+package controller
+
+import (
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// Ticket tells whom to answer; the core only hands it back.
+type Ticket any
+
+// Input is what the core takes.
+type Input interface{ input() }
+
+// Inputs.
+type (
+	// Tick lets time pass.
+	Tick struct{}
+	// Lead carries an input of the leadership machine.
+	Lead struct{ In leadership.Input }
+	// Loaded answers LoadAll.
+	Loaded struct {
+		Epoch        unit.Epoch
+		OK           bool
+		Jobs, Rounds []statestore.Item
+	}
+	// JobRead answers ReadJob.
+	JobRead struct {
+		Job  unit.JobID
+		OK   bool
+		Item statestore.Item
+	}
+	// Committed answers Commit.
+	Committed struct {
+		Kind    CommitKind
+		Epoch   unit.Epoch
+		Outcome leadership.Outcome
+		Version unit.Version
+		Failed  []string
+	}
+	// Reported is a worker's report.
+	Reported struct {
+		Ticket Ticket
+		Report *fleet.Report
+	}
+	// DoDone answers Do. Report is nil if nothing was answered.
+	DoDone struct {
+		Machine unit.MachineID
+		Epoch   unit.Epoch
+		Report  *fleet.Report
+	}
+	// Asked is a poll or a withdrawal.
+	Asked struct {
+		Ticket   Ticket
+		Job      unit.JobID
+		Withdraw bool
+	}
+	// Noticed says that a job was stored, or has changed.
+	Noticed struct {
+		Job   unit.JobID
+		Stamp unit.Version
+	}
+	// HireDone answers CallHire.
+	HireDone struct {
+		Name     string
+		Offer    rental.Offer
+		Sent     unit.Instant
+		Verdict  rental.Verdict
+		Machines []unit.MachineID
+	}
+	// ReleaseDone answers CallRelease.
+	ReleaseDone struct {
+		Machines []unit.MachineID
+		OK       bool
+	}
+	// ListDone answers CallList.
+	ListDone struct {
+		OK       bool
+		Sent     unit.Instant
+		Machines []rental.Listed
+	}
+	// FlavorsDone answers CallFlavors.
+	FlavorsDone struct{ Types []*fleet.Type }
+)
+
+func (Tick) input()        {}
+func (Lead) input()        {}
+func (Loaded) input()      {}
+func (JobRead) input()     {}
+func (Committed) input()   {}
+func (Reported) input()    {}
+func (DoDone) input()      {}
+func (Asked) input()       {}
+func (Noticed) input()     {}
+func (HireDone) input()    {}
+func (ReleaseDone) input() {}
+func (ListDone) input()    {}
+func (FlavorsDone) input() {}
+
+// CommitKind tells the leader's transactions apart; one of each is under way
+// at a time.
+type CommitKind int
+
+// Kinds.
+const (
+	CommitRound CommitKind = iota
+	CommitFold
+)
+
+// Effect is what the core asks for.
+type Effect interface{ effect() }
+
+// Effects.
+type (
+	// DoLead carries an effect of the leadership machine.
+	DoLead struct{ Effect leadership.Effect }
+	// LoadAll reads all job and round records.
+	LoadAll struct{ Epoch unit.Epoch }
+	// ReadJob reads one job record.
+	ReadJob struct{ Job unit.JobID }
+	// Commit applies a transaction of the leader.
+	Commit struct {
+		Kind  CommitKind
+		Epoch unit.Epoch
+		Txn   statestore.Txn
+	}
+	// Do sends a direct command.
+	Do struct {
+		Machine unit.MachineID
+		Addr    string
+		Epoch   unit.Epoch
+		Shift   unit.Shift
+		Orders  []fleet.Order
+	}
+	// ReplyReport answers a report. With code 200 it must leave before Until.
+	ReplyReport struct {
+		Ticket Ticket
+		Code   int
+		Epoch  unit.Epoch
+		Orders []fleet.Order
+		Leader string
+		Until  unit.Instant
+	}
+	// ReplyAsk answers a poll or a withdrawal; Known must leave before Until.
+	ReplyAsk struct {
+		Ticket  Ticket
+		Outcome intake.Outcome
+		Status  intake.Status
+		Until   unit.Instant
+	}
+	// CallHire rents machines.
+	CallHire struct {
+		Name  string
+		Offer rental.Offer
+		Count int
+	}
+	// CallRelease returns machines.
+	CallRelease struct{ Machines []unit.MachineID }
+	// CallList reads the machine list.
+	CallList struct{}
+	// CallFlavors reads the machine types.
+	CallFlavors struct{}
+)
+
+func (DoLead) effect()      {}
+func (LoadAll) effect()     {}
+func (ReadJob) effect()     {}
+func (Commit) effect()      {}
+func (Do) effect()          {}
+func (ReplyReport) effect() {}
+func (ReplyAsk) effect()    {}
+func (CallHire) effect()    {}
+func (CallRelease) effect() {}
+func (CallList) effect()    {}
+func (CallFlavors) effect() {}
