--- /dev/null
+++ b/internal/controller/cloud.go
@@ -0,0 +1,127 @@
+package controller
+
+import (
+	"sort"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/unit"
+)
+
+func sortByAge(jobs []*checkpoint.Job) {
+	sort.Slice(jobs, func(a, b int) bool {
+		if jobs[a].DirtySince != jobs[b].DirtySince {
+			return jobs[a].DirtySince < jobs[b].DirtySince
+		}
+		return jobs[a].ID < jobs[b].ID
+	})
+}
+
+// callCloud sends what is due to the cloud, within its call rate: releases
+// first, since they stop costs, then rentals, then the list.
+func (t *term) callCloud(now unit.Instant) {
+	if t.cloud.Level(now) < 1 {
+		return
+	}
+	if ids := t.desk.DueReleases(now); len(ids) > 0 {
+		t.cloud.Take(now, 1, 0)
+		t.c.emit(CallRelease{Machines: ids})
+	}
+	for t.cloud.Level(now) >= 1 {
+		h := t.desk.Due(now)
+		if h == nil {
+			break
+		}
+		t.cloud.Take(now, 1, 0)
+		t.c.emit(CallHire{Name: h.Name, Offer: h.Offer, Count: h.Count})
+	}
+	if !t.listing && !now.Before(t.nextList) && t.cloud.Take(now, 1, 1) {
+		t.listing = true
+		t.c.emit(CallList{})
+	}
+	if !now.Before(t.nextTypes) && t.cloud.Take(now, 1, 1) {
+		t.nextTypes = now.Add(time.Minute)
+		t.c.emit(CallFlavors{})
+	}
+}
+
+func (t *term) hireDone(now unit.Instant, in HireDone) {
+	if t.desk.Answered(now, in.Name, in.Verdict, len(in.Machines)) {
+		t.ring.SettleHire(in.Name)
+	}
+	t.dirty = true
+	for _, id := range in.Machines {
+		known := t.fleet.Machine(id) != nil
+		m := t.fleet.Ensure(now, id)
+		if !known {
+			m.Type, m.Zone, m.Spot, m.Born = in.Offer.Type, in.Offer.Zone, in.Offer.Spot, in.Sent
+		}
+	}
+	t.c.log.Info("rental answered", "hire", in.Name, "verdict", int(in.Verdict), "machines", len(in.Machines), "epoch", t.epoch)
+}
+
+func (t *term) releaseDone(now unit.Instant, in ReleaseDone) {
+	t.desk.Released(now, in.Machines, in.OK)
+	if !in.OK {
+		return
+	}
+	for _, id := range in.Machines {
+		t.ring.SettleRelease(id)
+		t.ended(now, t.fleet.Remove(now, id))
+	}
+	t.dirty = true
+}
+
+// listDone takes in the machine list. Absence proves that a machine is gone
+// only if it was listed before, so long ago that even an old list would show it.
+func (t *term) listDone(now unit.Instant, in ListDone) {
+	t.listing = false
+	lag := t.c.set.Params.Cloud.ListLag()
+	t.nextList = now.Add(max(lag, 2*time.Second))
+	if !in.OK {
+		return
+	}
+	seen := map[unit.MachineID]bool{}
+	for _, l := range in.Machines {
+		seen[l.ID] = true
+		t.listed(now, in.Sent, l)
+	}
+	for _, m := range t.fleet.Machines() {
+		if seen[m.ID] {
+			continue
+		}
+		gone := m.Listed != 0 && in.Sent.Sub(m.Listed) > 2*lag+3*time.Second
+		never := m.Listed == 0 && m.Shift == 0 && now.Sub(m.Since) > 4*lag+10*time.Second
+		if gone || never {
+			t.c.log.Info("machine gone", "machine", m.ID, "epoch", t.epoch)
+			t.gone(now, m)
+		}
+	}
+}
+
+func (t *term) gone(now unit.Instant, m *fleet.Machine) {
+	id := m.ID
+	t.ended(now, t.fleet.Remove(now, id))
+	t.dirty = true
+}
+
+func (t *term) listed(now, sent unit.Instant, l rental.Listed) {
+	known := t.fleet.Machine(l.ID) != nil
+	m := t.fleet.Ensure(now, l.ID)
+	if m.Listed == 0 {
+		m.Listed = now
+	}
+	m.LastListed = now
+	if m.Type == "" || !known {
+		t.fleet.Describe(m, l.Type, l.Zone, l.Spot)
+		m.Born = sent.Add(-unit.Seconds(l.AgeS))
+		t.dirty = true
+	}
+	if l.Standing == rental.Failed && !m.Failed {
+		t.c.log.Info("machine failed", "machine", m.ID, "epoch", t.epoch)
+		t.ended(now, t.fleet.Fail(now, m))
+		t.dirty = true
+	}
+}
--- /dev/null
+++ b/internal/controller/core.go
@@ -0,0 +1,141 @@
+package controller
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/policy"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// Core is the state machine of one node. It is not safe for concurrent use.
+type Core struct {
+	set    *config.Settings
+	pol    *policy.Policy
+	log    *slog.Logger
+	met    *Metrics
+	budget *statestore.Budget
+	clock  unit.Clock
+	lead   *leadership.Machine
+	types  []*fleet.Type
+	term   *term // nil unless this node holds the leader key
+
+	nextFlavors unit.Instant
+	out         []Effect
+}
+
+// NewCore returns the core of a node.
+func NewCore(set *config.Settings, pol *policy.Policy, clock unit.Clock, budget *statestore.Budget,
+	rng *rand.Rand, log *slog.Logger, met *Metrics) *Core {
+	times := leadership.Times{Life: pol.LeaseLife, Renew: pol.LeaseRenew, Poll: pol.LeaderPoll}
+	return &Core{set: set, pol: pol, log: log, met: met, budget: budget, clock: clock,
+		lead: leadership.New(set.Label, times, rng)}
+}
+
+// Leader is the node that was last seen to lead, or "".
+func (c *Core) Leader() string { return c.lead.Leader() }
+
+// Types are the machine types, or nil while they are not known.
+func (c *Core) Types() []*fleet.Type { return c.types }
+
+// Step takes one input at now and returns what to send, write and answer.
+func (c *Core) Step(now unit.Instant, in Input) []Effect {
+	c.out = nil
+	c.take(now, in)
+	c.leadStep(now, leadership.Tick{})
+	if c.types == nil && !now.Before(c.nextFlavors) {
+		c.nextFlavors = now.Add(2 * time.Second)
+		c.emit(CallFlavors{})
+	}
+	if c.term != nil {
+		c.term.advance(now)
+	}
+	return c.out
+}
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+// leadStep runs the leadership machine and follows what it decides.
+func (c *Core) leadStep(now unit.Instant, in leadership.Input) {
+	before := c.lead.Epoch()
+	for _, e := range c.lead.Step(now, in) {
+		c.emit(DoLead{e})
+	}
+	after := c.lead.Epoch()
+	if before == after {
+		return
+	}
+	c.met.EpochChanges.Inc()
+	switch {
+	case c.term != nil && after != 0:
+		c.log.Info("seal raised", "epoch", after)
+		c.term.reseal(after)
+	case after != 0:
+		c.log.Info("leading", "epoch", after)
+		c.budget.Lead(now, true)
+		c.term = newTerm(c, now, after)
+		c.emit(LoadAll{Epoch: after})
+	default:
+		c.log.Info("no longer leading", "epoch", before)
+		c.budget.Lead(now, false)
+		c.term.abandon()
+		c.term = nil
+	}
+}
+
+func (c *Core) take(now unit.Instant, in Input) {
+	switch in := in.(type) {
+	case Lead:
+		c.leadStep(now, in.In)
+	case Reported:
+		c.reported(now, in)
+	case Asked:
+		c.asked(now, in)
+	case FlavorsDone:
+		c.flavors(in)
+	default:
+		if c.term != nil {
+			c.term.take(now, in)
+		}
+	}
+}
+
+func (c *Core) flavors(in FlavorsDone) {
+	if in.Types == nil {
+		return
+	}
+	c.types = in.Types
+	if c.term != nil {
+		c.term.fleet.SetTypes(in.Types)
+		c.term.dirty = true
+	}
+}
+
+// reported answers a worker. A node that is not entitled must not answer 200,
+// so that leases really run out: it names the leader, or refuses.
+func (c *Core) reported(now unit.Instant, in Reported) {
+	if !c.lead.Entitled(now) || c.term == nil {
+		reply := ReplyReport{Ticket: in.Ticket, Code: http.StatusMisdirectedRequest, Leader: c.Leader()}
+		if c.lead.Leads() {
+			reply.Code = http.StatusServiceUnavailable
+		}
+		c.emit(reply)
+		return
+	}
+	c.term.reported(now, in)
+}
+
+func (c *Core) asked(now unit.Instant, in Asked) {
+	if !c.lead.Entitled(now) || c.term == nil || !c.term.loaded {
+		c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: intake.NoLeader})
+		return
+	}
+	c.term.asked(now, in)
+}
--- /dev/null
+++ b/internal/controller/metrics.go
@@ -0,0 +1,96 @@
+package controller
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/unit"
+)
+
+// Metrics are the signals that the paper says to watch, each on its own.
+type Metrics struct {
+	Registry      *prometheus.Registry
+	EpochChanges  prometheus.Counter
+	CASConflicts  prometheus.Counter
+	Recoveries    prometheus.Counter
+	Rounds        prometheus.Counter
+	Folds         prometheus.Counter
+	Refusals      prometheus.Counter
+	Preemptions   prometheus.Counter
+	Throttled     prometheus.Counter
+	Uncertain     prometheus.Counter
+	Submissions   *prometheus.CounterVec
+	Reports       *prometheus.CounterVec
+	CheckpointAge prometheus.Gauge
+	Pending       prometheus.Gauge
+	UnsureHires   prometheus.Gauge
+	Queued        prometheus.Gauge
+	Machines      prometheus.Gauge
+	RingFree      prometheus.Gauge
+	Tombstones    prometheus.Gauge
+	Epoch         prometheus.Gauge
+}
+
+// NewMetrics returns metrics on a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{Registry: prometheus.NewRegistry()}
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "badgerbay", Name: name, Help: help})
+		m.Registry.MustRegister(c)
+		return c
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "badgerbay", Name: name, Help: help})
+		m.Registry.MustRegister(g)
+		return g
+	}
+	vec := func(name, help, label string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "badgerbay", Name: name, Help: help}, []string{label})
+		m.Registry.MustRegister(c)
+		return c
+	}
+	m.EpochChanges = counter("epoch_changes_total", "Epochs gained, lost or raised by this node.")
+	m.CASConflicts = counter("cas_conflicts_total", "Checkpoint writes whose version did not match.")
+	m.Recoveries = counter("recoveries_total", "Times this node took over and reconciled.")
+	m.Rounds = counter("rounds_total", "Rounds recorded.")
+	m.Folds = counter("folds_total", "Folds written.")
+	m.Refusals = counter("launch_refusals_total", "Launches that workers refused.")
+	m.Preemptions = counter("preemptions_total", "Tasks stopped to make room.")
+	m.Throttled = counter("throttled_total", "Requests that the state service or the cloud throttled.")
+	m.Uncertain = counter("uncertain_operations_total", "Requests whose outcome had to be read back.")
+	m.Submissions = vec("user_answers_total", "Answers to users by status.", "code")
+	m.Reports = vec("report_answers_total", "Answers to workers by status.", "code")
+	m.CheckpointAge = gauge("checkpoint_age_seconds", "Age of the oldest change that is not stored.")
+	m.Pending = gauge("pending_placements", "Placements recorded and not seen on their machine.")
+	m.UnsureHires = gauge("uncertain_hires", "Rentals whose outcome is not known.")
+	m.Queued = gauge("queued_tasks", "Tasks waiting for a place.")
+	m.Machines = gauge("machines", "Machines known.")
+	m.RingFree = gauge("round_slots_free", "Free slots of the ring of round records.")
+	m.Tombstones = gauge("tombstones", "Exits that wait to be reaped.")
+	m.Epoch = gauge("epoch", "Epoch of this node, 0 if it does not lead.")
+	return m
+}
+
+// watch sets the gauges of a leader.
+func (m *Metrics) watch(t *term, now unit.Instant) {
+	age, pending, queued := 0.0, 0, 0
+	for _, j := range t.jobs {
+		if j.Dirty() {
+			age = max(age, now.Sub(j.DirtySince).Seconds())
+		}
+		queued += j.Queue.Len()
+		for _, p := range j.Live {
+			if p.State == checkpoint.Pending {
+				pending++
+			}
+		}
+	}
+	m.CheckpointAge.Set(age)
+	m.Pending.Set(float64(pending))
+	m.Queued.Set(float64(queued))
+	m.UnsureHires.Set(float64(t.desk.UncertainHires()))
+	m.Machines.Set(float64(t.fleet.Len()))
+	m.RingFree.Set(float64(t.ring.Free()))
+	m.Tombstones.Set(float64(t.fleet.Tombstones()))
+	m.Epoch.Set(float64(t.epoch))
+}
--- /dev/null
+++ b/internal/controller/node.go
@@ -0,0 +1,169 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/mesh"
+	"badgerbay/internal/policy"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+const (
+	inboxSize = 1024
+	tickEvery = 50 * time.Millisecond
+	// maxCalls bounds the calls that are under way for the core.
+	maxCalls = 64
+)
+
+// view is what the handlers may know of the core without asking it.
+type view struct {
+	leader string
+	types  []*fleet.Type
+	epoch  unit.Epoch // of this node, 0 if it does not lead
+}
+
+// Node runs a core and carries out its effects.
+type Node struct {
+	set    *config.Settings
+	pol    *policy.Policy
+	log    *slog.Logger
+	met    *Metrics
+	clock  unit.Clock
+	budget *statestore.Budget
+	store  *statestore.Client
+	cloud  *rental.Cloud
+	worker *http.Client
+	peers  *mesh.Peers
+	core   *Core
+	inbox  chan Input
+	calls  chan struct{}
+	view   atomic.Pointer[view]
+	health health
+}
+
+// NewNode composes a node from its settings.
+func NewNode(set *config.Settings, pol *policy.Policy, log *slog.Logger) (*Node, error) {
+	peers, err := mesh.Dial(set.Peers)
+	if err != nil {
+		return nil, err
+	}
+	p := set.Params
+	clock := unit.NewSystemClock()
+	n := &Node{set: set, pol: pol, log: log, met: NewMetrics(), clock: clock, peers: peers,
+		budget: statestore.NewBudget(len(set.Peers)+1, p.State.RPS, p.State.WriteRPS),
+		store:  statestore.NewClient(set.External.State, transport(16)),
+		cloud:  rental.NewCloud(set.External.Cloud, transport(4)),
+		worker: &http.Client{Transport: transport(1), Timeout: doTimeout},
+		inbox:  make(chan Input, inboxSize), calls: make(chan struct{}, maxCalls)}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.core = NewCore(set, pol, clock, n.budget, rng, log, n.met)
+	n.view.Store(&view{})
+	return n, nil
+}
+
+// transport returns a round tripper that keeps few connections for each host.
+func transport(perHost int) *http.Transport {
+	return &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: time.Second, KeepAlive: -1}).DialContext,
+		MaxIdleConnsPerHost:   perHost,
+		IdleConnTimeout:       60 * time.Second,
+		ResponseHeaderTimeout: 65 * time.Second,
+		DisableCompression:    true,
+		ReadBufferSize:        4 << 10,
+		WriteBufferSize:       4 << 10,
+	}
+}
+
+// Run serves until the context ends or a listener fails.
+func (n *Node) Run(ctx context.Context) error {
+	users, err := net.Listen("tcp4", n.set.ClientListen)
+	if err != nil {
+		return fmt.Errorf("client_listen: %w", err)
+	}
+	peers, err := net.Listen("tcp4", n.set.MeshAddr)
+	if err != nil {
+		return fmt.Errorf("mesh_addr: %w", err)
+	}
+	limit := n.set.Params.MachineLimits.MaxSockets
+	server := &http.Server{Handler: n.routes(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
+		WriteTimeout: 15 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	failed := make(chan error, 2)
+	go func() { failed <- server.Serve(netutil.LimitListener(users, max(1, limit*7/10))) }()
+	go func() {
+		failed <- mesh.Serve(netutil.LimitListener(peers, max(1, limit/20)), &meshServer{n: n})
+	}()
+	go n.act(ctx)
+	n.log.Info("serving", "node", n.set.Label, "zone", n.set.Location)
+	select {
+	case <-ctx.Done():
+		server.Close()
+		return nil
+	case err := <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}
+}
+
+// act is the actor: it alone touches the core.
+func (n *Node) act(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	n.step(ctx, Tick{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case in := <-n.inbox:
+			n.step(ctx, in)
+		case <-tick.C:
+			n.step(ctx, Tick{})
+		}
+	}
+}
+
+func (n *Node) step(ctx context.Context, in Input) {
+	effects := n.core.Step(n.clock.Now(), in)
+	old := n.view.Load()
+	if v := (view{leader: n.core.Leader(), types: n.core.Types(), epoch: n.core.lead.Epoch()}); v.leader != old.leader || v.epoch != old.epoch || len(v.types) != len(old.types) {
+		n.view.Store(&v)
+	}
+	for _, e := range effects {
+		n.carryOut(ctx, e)
+	}
+}
+
+// offer hands an input from outside to the core, unless it is overloaded.
+func (n *Node) offer(in Input) bool {
+	select {
+	case n.inbox <- in:
+		return true
+	default:
+		return false
+	}
+}
+
+// post hands the answer to an effect to the core. The core waits for it, so it
+// is never dropped; the number of calls under way is bounded.
+func (n *Node) post(ctx context.Context, in Input) {
+	select {
+	case n.inbox <- in:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/controller/rounds.go
@@ -0,0 +1,412 @@
+package controller
+
+import (
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/round"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// flight is a round whose record is being written.
+type flight struct {
+	record *round.Record
+	places []*checkpoint.Placement
+	jobs   map[unit.JobID]bool
+}
+
+// foldFlight is a fold that is being written.
+type foldFlight struct{ jobs []foldedJob }
+
+type foldedJob struct {
+	job   *checkpoint.Job
+	seq   uint64
+	round unit.RoundNo
+	phase checkpoint.Phase
+}
+
+// proposed tells whether a placement belongs to the round under way: its
+// launch has not left, and won't before the record is stored.
+func (t *term) proposed(p *checkpoint.Placement) bool {
+	return t.flight != nil && p.Attempt == unit.Attempt(t.flight.record.No)
+}
+
+// leaderGuard fences a transaction: once another epoch has begun it fails.
+func (t *term) leaderGuard() statestore.Guard {
+	return statestore.Guard{Key: leadership.Key, Stamp: unit.Version(t.epoch)}
+}
+
+// gap is the least time between two rounds. It grows as the write budget
+// shrinks, so that rounds come seldomer and decide more each.
+func (t *term) gap(now unit.Instant) time.Duration {
+	g := t.c.pol.RoundGap
+	switch level := t.c.budget.WritesFor(now, statestore.UseRound); {
+	case level < 2:
+		return 16 * g
+	case level < 4:
+		return 6 * g
+	}
+	return g
+}
+
+func (t *term) maybeRound(now unit.Instant) {
+	if !t.ready || t.flight != nil || t.c.lead.Sealing() || now.Sub(t.lastRound) < t.gap(now) {
+		return
+	}
+	if !t.dirty && now.Before(t.nextPlan) {
+		return
+	}
+	no, free := t.ring.Next()
+	if !free || t.c.budget.WritesFor(now, statestore.UseRound) < 1 {
+		return
+	}
+	t.dirty, t.lastRound, t.nextPlan = false, now, now.Add(time.Second)
+	plan := round.Make(t.world(now, no))
+	for _, s := range plan.Stops {
+		t.c.log.Debug("task stopped to make room", "job", s.Placement.Job.ID, "task", s.Placement.Task, "machine", s.Placement.Machine, "epoch", t.epoch)
+		s.Placement.Drain = true
+		t.fleet.Halt(now, s.Placement, unit.Seconds(s.Placement.Job.Spec.SaveS))
+		t.c.met.Preemptions.Inc()
+	}
+	t.propose(now, plan)
+}
+
+// propose reserves what the round decides and writes its record.
+func (t *term) propose(now unit.Instant, plan *round.Plan) {
+	r := &plan.Record
+	f := &flight{record: r, jobs: map[unit.JobID]bool{}}
+	for _, s := range r.Starts {
+		j := t.jobs[s.Job]
+		f.jobs[s.Job] = true
+		s.Tasks.Each(func(i unit.TaskIndex) bool {
+			p := &checkpoint.Placement{Job: j, Task: i, Machine: s.Machine, Shift: s.Shift, Attempt: unit.Attempt(r.No), Since: now}
+			t.fleet.Place(now, p)
+			f.places = append(f.places, p)
+			return true
+		})
+	}
+	r.Releases = t.releasable(now, t.c.set.Params.State.ValueBytes()-r.SizeOf())
+	if r.Empty() {
+		return
+	}
+	r.Low = min(t.ring.Low(), r.No)
+	if !t.c.budget.TakeWrites(now, statestore.UseRound, 1) {
+		t.undo(now, f)
+		return
+	}
+	for _, id := range r.Releases {
+		t.fleet.Machine(id).Releasing = true
+	}
+	t.flight = f
+	key := t.ring.Key(r.No)
+	t.c.emit(Commit{Kind: CommitRound, Epoch: t.epoch, Txn: statestore.Txn{
+		Guards: []statestore.Guard{t.leaderGuard(), {Key: key, Stamp: t.ring.Version(r.No)}},
+		Writes: []statestore.Write{{Set: key, Value: r}},
+	}})
+}
+
+// undo takes back a round that surely was not stored.
+func (t *term) undo(now unit.Instant, f *flight) {
+	for _, p := range f.places {
+		t.fleet.Withdraw(now, p)
+	}
+	for _, id := range f.record.Releases {
+		if m := t.fleet.Machine(id); m != nil {
+			m.Releasing = false
+		}
+	}
+	t.dirty = true
+}
+
+func (t *term) committed(now unit.Instant, in Committed) {
+	if in.Outcome == leadership.Gone {
+		t.c.leadStep(now, leadership.Deposed{})
+		return
+	}
+	if in.Kind == CommitRound {
+		t.roundCommitted(now, in)
+	} else {
+		t.foldCommitted(now, in)
+	}
+}
+
+// roundCommitted sends the effects of a round that is stored.
+func (t *term) roundCommitted(now unit.Instant, in Committed) {
+	f := t.flight
+	if f == nil {
+		return
+	}
+	t.flight = nil
+	if in.Outcome != leadership.OK {
+		t.undo(now, f)
+		t.lastRound = now.Add(200 * time.Millisecond)
+		return
+	}
+	r := f.record
+	t.ring.Put(r, in.Version)
+	t.c.met.Rounds.Inc()
+	for _, p := range f.places {
+		t.launch(now, p, r.No)
+	}
+	for id := range f.jobs {
+		j := t.jobs[id]
+		j.Round = max(j.Round, r.No)
+		j.Touch(now)
+	}
+	for _, h := range r.Hires {
+		t.c.log.Info("renting", "hire", h.Name, "type", h.Offer.Type, "zone", h.Offer.Zone, "spot", h.Offer.Spot, "count", h.Count, "round", r.No, "epoch", t.epoch)
+		t.desk.Hire(now, h.Name, h.Offer, h.Count, false)
+	}
+	if len(r.Releases) > 0 {
+		t.c.log.Info("returning", "machines", r.Releases, "round", r.No, "epoch", t.epoch)
+		t.desk.Release(r.Releases...)
+	}
+	t.c.log.Debug("round", "round", r.No, "epoch", t.epoch, "starts", len(f.places), "hires", len(r.Hires), "releases", len(r.Releases))
+}
+
+// launch lets a recorded placement start, unless its job or its machine has
+// changed while the record was being written.
+func (t *term) launch(now unit.Instant, p *checkpoint.Placement, no unit.RoundNo) {
+	if p.State == checkpoint.Ended {
+		return
+	}
+	m := t.fleet.Machine(p.Machine)
+	if p.Job.Phase.Final() || m == nil || m.Shift != p.Shift || !t.fleet.Placeable(m) {
+		t.fleet.Withdraw(now, p)
+		return
+	}
+	p.Launch = true
+	t.fleet.Push(p.Machine)
+	t.c.log.Debug("launch", "job", p.Job.ID, "task", p.Task, "machine", p.Machine, "round", no, "epoch", t.epoch)
+}
+
+// world gathers what a round is planned from.
+func (t *term) world(now unit.Instant, no unit.RoundNo) *round.World {
+	p := t.c.set.Params
+	w := &round.World{Now: now, WallMs: t.c.clock.Wall().UnixMilli(), No: no, Epoch: t.epoch, Fleet: t.fleet,
+		Types: t.c.types, Zones: p.Zones, Teams: t.teams, Coming: t.coming(now),
+		Blocked:    func(o rental.Offer) bool { return t.desk.Blocked(now, o) },
+		Policy:     t.c.pol,
+		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.desk.Pending()) < 4,
+		ValueBytes: p.State.ValueBytes(), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
+	for _, j := range t.jobs {
+		if len(j.Live) > 0 {
+			w.All = append(w.All, j)
+		}
+		if len(j.Queue) > 0 && !j.Phase.Final() && !now.Before(j.NotBefore) {
+			w.Jobs = append(w.Jobs, j)
+		}
+	}
+	return w
+}
+
+// coming lists the machines that are rented, or being rented, and not up.
+func (t *term) coming(now unit.Instant) []round.Coming {
+	var out []round.Coming
+	for _, m := range t.fleet.Machines() {
+		if m.Type != "" && m.Shift == 0 && !m.Releasing && !m.Failed && !t.overdue(now, m) {
+			out = append(out, round.Coming{Offer: rental.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}, Born: m.Born})
+		}
+	}
+	for _, h := range t.desk.Pending() {
+		for range h.Count {
+			out = append(out, round.Coming{Offer: h.Offer, Born: h.Since})
+		}
+	}
+	return out
+}
+
+func (t *term) bootLimit(m *fleet.Machine) time.Duration {
+	limit := t.c.pol.ReservedBoot
+	if typ := t.fleet.Type(m.Type); typ != nil {
+		limit = max(limit, time.Duration(t.c.pol.BootFactor*float64(typ.Boot)))
+	}
+	return limit
+}
+
+// overdue tells whether a machine has taken so long to boot that it is not
+// counted on any more.
+func (t *term) overdue(now unit.Instant, m *fleet.Machine) bool {
+	return m.Shift == 0 && now.Sub(m.Born) > t.bootLimit(m)
+}
+
+// releasable lists the machines to return in this round, as many as fit room
+// bytes of its record.
+func (t *term) releasable(now unit.Instant, room int) []unit.MachineID {
+	var out []unit.MachineID
+	silent := t.silent(now)
+	for _, m := range t.fleet.Machines() {
+		if m.Releasing || len(out) == rental.MaxRelease {
+			continue
+		}
+		idle := !m.Busy() && (now.Sub(m.IdleSince) > t.c.pol.IdleReturn || m.Drained)
+		if m.Shift == 0 {
+			idle = t.overdue(now, m)
+		}
+		if !idle && !m.Failed && !silent[m.ID] {
+			continue
+		}
+		room -= len(m.ID) + 8
+		if room < 0 {
+			break
+		}
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+// silent picks a machine that has stopped reporting while nearly all others
+// go on. Returning it proves that its tasks are gone sooner than its lease
+// does. Many silent machines at once look like a cut, and are left alone.
+func (t *term) silent(now unit.Instant) map[unit.MachineID]bool {
+	quiet := map[unit.MachineID]bool{}
+	up := 0
+	for _, m := range t.fleet.Machines() {
+		if !m.Up {
+			continue
+		}
+		up++
+		if now.Sub(max(m.LastReport, t.acquired)) > t.c.pol.SilentAfter {
+			quiet[m.ID] = true
+		}
+	}
+	if len(quiet) > max(1, up/10) || up < 2 {
+		return nil
+	}
+	return quiet
+}
+
+// maxTxn keeps a transaction below the state service's limit of 64 KiB.
+const maxTxn = 40 << 10
+
+// maybeFold writes the checkpoints that somebody waits for, then those that
+// have lagged longest, as far as the folds' share of the write rate goes.
+func (t *term) maybeFold(now unit.Instant) {
+	if t.fold != nil || t.c.lead.Sealing() || now.Before(t.retryFold) {
+		return
+	}
+	urgent, late := t.foldable(now)
+	use := statestore.UseFold
+	batch := late
+	if len(urgent) > 0 {
+		use, batch = statestore.UseSubmit, urgent
+	}
+	n := min(len(batch), t.c.budget.WritesFor(now, use), t.c.set.Params.State.TxnOps)
+	if n <= 0 {
+		return
+	}
+	f := &foldFlight{}
+	txn := statestore.Txn{Guards: []statestore.Guard{t.leaderGuard()}}
+	size := 0
+	for _, j := range batch[:n] {
+		rec := j.Record(t.epoch)
+		size += statestore.JSONSize(rec)
+		if size > maxTxn && len(f.jobs) > 0 {
+			break
+		}
+		key := checkpoint.Key(j.ID)
+		txn.Guards = append(txn.Guards, statestore.Guard{Key: key, Stamp: j.Version})
+		txn.Writes = append(txn.Writes, statestore.Write{Set: key, Value: rec})
+		f.jobs = append(f.jobs, foldedJob{j, j.Seq, rec.Round, rec.Phase})
+		j.Writing = true
+	}
+	t.c.budget.TakeWrites(now, use, len(f.jobs))
+	t.fold = f
+	t.c.emit(Commit{Kind: CommitFold, Epoch: t.epoch, Txn: txn})
+}
+
+// foldable lists the jobs whose record may be written now: those that a user
+// or the ring waits for, and those that have lagged long enough.
+func (t *term) foldable(now unit.Instant) (urgent, late []*checkpoint.Job) {
+	pressed := map[unit.JobID]bool{}
+	if t.ring.Free() <= t.c.pol.RingSlots/3 {
+		for _, id := range t.ring.Oldest() {
+			pressed[id] = true
+		}
+	}
+	for _, j := range t.jobs {
+		if !j.Dirty() || j.Writing || t.flight != nil && t.flight.jobs[j.ID] {
+			continue
+		}
+		if j.Urgent() || pressed[j.ID] || len(t.waiting[j.ID]) > 0 {
+			urgent = append(urgent, j)
+		} else if now.Sub(j.DirtySince) >= t.c.pol.FoldAge {
+			late = append(late, j)
+		}
+	}
+	sortByAge(urgent)
+	sortByAge(late)
+	return urgent, late
+}
+
+func (t *term) foldCommitted(now unit.Instant, in Committed) {
+	f := t.fold
+	if f == nil {
+		return
+	}
+	t.fold = nil
+	for _, fj := range f.jobs {
+		fj.job.Writing = false
+	}
+	if in.Outcome != leadership.OK {
+		t.foldFailed(now, in)
+		return
+	}
+	t.c.met.Folds.Inc()
+	for _, fj := range f.jobs {
+		j := fj.job
+		j.Version, j.Stored, j.StoredRound, j.StoredPhase = in.Version, fj.seq, fj.round, fj.phase
+		if j.Dirty() {
+			j.DirtySince = now
+		}
+		t.ring.Folded(j.ID, fj.round)
+		if fj.phase.Final() {
+			t.c.log.Info("job over", "job", j.ID, "phase", fj.phase, "epoch", t.epoch)
+			t.answerWaiters(j.ID, intake.Known, t.c.lead.EntitledUntil())
+		}
+	}
+}
+
+func (t *term) foldFailed(now unit.Instant, in Committed) {
+	t.retryFold = now.Add(200 * time.Millisecond)
+	for _, key := range in.Failed {
+		t.c.met.CASConflicts.Inc()
+		for id := range t.jobs {
+			if checkpoint.Key(id) == key && !t.reading[id] {
+				t.reading[id] = true
+				t.c.emit(ReadJob{Job: id})
+			}
+		}
+	}
+}
+
+// maybeSeal raises the seal when exits wait to be reaped, or when a withdrawn
+// launch has not been seen: under a higher seal no late copy can start.
+func (t *term) maybeSeal(now unit.Instant) {
+	if t.flight != nil || t.fold != nil || t.c.lead.Sealing() {
+		return
+	}
+	since := now.Sub(t.lastSeal)
+	if since < 5*time.Second || !(t.stuckHalt(now) || t.fleet.Tombstones() > 0 && since >= t.c.pol.ResealEvery) {
+		return
+	}
+	t.c.budget.TakeWrites(now, statestore.UseLead, 1)
+	t.lastSeal = now
+	t.c.leadStep(now, leadership.RaiseSeal{})
+}
+
+func (t *term) stuckHalt(now unit.Instant) bool {
+	for _, j := range t.jobs {
+		for _, p := range j.Live {
+			if p.Halting && p.State == checkpoint.Pending && now.Sub(p.Since) > 3*time.Second && p.Seal == t.epoch {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/controller/server.go
@@ -0,0 +1,385 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/mesh/meshpb"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+const (
+	contentType = "application/msgpack"
+	// askTimeout bounds the time a poll waits for the leader, so that enough
+	// of the user's two seconds is left to read the record instead.
+	askTimeout      = 500 * time.Millisecond
+	withdrawTimeout = 2 * time.Second
+	pollBudget      = 1800 * time.Millisecond
+	submitBudget    = 4 * time.Second
+	reportBudget    = 3 * time.Second
+)
+
+// health tells whether this node can serve users.
+type health struct{ lastState atomic.Int64 }
+
+func (h *health) stateOK(now unit.Instant) { h.lastState.Store(int64(now)) }
+
+// stateGrace is how long the state service may be silent before a node counts
+// itself out: it could store nothing.
+const stateGrace = 5 * time.Second
+
+func (n *Node) routes() http.Handler {
+	r := httprouter.New()
+	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
+	r.PanicHandler = func(w http.ResponseWriter, _ *http.Request, v any) {
+		n.log.Error("handler panicked", "panic", v)
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	r.GET("/up", n.up)
+	r.POST("/submissions", n.submit)
+	r.GET("/submissions/:id", n.ask(intake.Poll))
+	r.POST("/submissions/:id/withdraw", n.ask(intake.Withdraw))
+	r.POST("/agent/beat", n.beat)
+	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(n.met.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: 2}))
+	return r
+}
+
+func (n *Node) up(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	last := unit.Instant(n.health.lastState.Load())
+	if last == 0 || n.clock.Now().Sub(last) > stateGrace || n.view.Load().types == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, errors.New("body too large")
+	}
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+}
+
+func (n *Node) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := readBody(w, r, intake.MaxBody)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		n.answer(w, "", intake.Answer{Code: http.StatusBadRequest})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitBudget)
+	defer cancel()
+	id, ans := n.runSubmit(ctx, data, true)
+	n.answer(w, id, ans)
+}
+
+// runSubmit decides a submission. One that this node can't store for want of
+// the state service is handed to the others once.
+func (n *Node) runSubmit(ctx context.Context, data []byte, forward bool) (unit.JobID, intake.Answer) {
+	sub, err := intake.DecodeSubmission(data)
+	if err != nil {
+		n.log.Debug("submission refused", "err", err)
+		return "", intake.Answer{Code: http.StatusBadRequest}
+	}
+	req := intake.NewSubmit(sub, n.rules(), n.clock.Wall().UnixMilli())
+	ans := n.drive(ctx, sub.ID, req)
+	if ans.Code == http.StatusServiceUnavailable && forward && !n.stateReachable() {
+		if other, ok := n.handOver(ctx, data); ok {
+			return sub.ID, other
+		}
+	}
+	return sub.ID, ans
+}
+
+func (n *Node) stateReachable() bool {
+	return n.clock.Now().Sub(unit.Instant(n.health.lastState.Load())) < time.Second
+}
+
+func (n *Node) handOver(ctx context.Context, data []byte) (intake.Answer, bool) {
+	for _, name := range n.peers.Names() {
+		reply, err := n.peers.Accept(ctx, name, data)
+		if err == nil && (reply.Status == http.StatusOK || reply.Status == http.StatusCreated) {
+			return intake.Answer{Code: int(reply.Status), Status: intake.Status{Standing: intake.Standing(reply.Body)}}, true
+		}
+	}
+	return intake.Answer{}, false
+}
+
+func (n *Node) rules() *intake.Rules {
+	p := n.set.Params
+	teams := make(map[unit.Team]config.Team, len(p.Teams))
+	for _, t := range p.Teams {
+		teams[t.Name] = t
+	}
+	return &intake.Rules{Teams: teams, Zones: p.Zones, Types: n.view.Load().types}
+}
+
+func (n *Node) ask(kind intake.Kind) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+		id, err := unit.ParseJobID(ps.ByName("id"))
+		if err != nil {
+			n.answer(w, "", intake.Answer{Code: http.StatusNotFound})
+			return
+		}
+		budget := pollBudget
+		if kind == intake.Withdraw {
+			budget = submitBudget
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), budget)
+		defer cancel()
+		n.answer(w, id, n.drive(ctx, id, intake.NewAsk(kind)))
+	}
+}
+
+// drive carries out what a request's machine asks for until it answers.
+func (n *Node) drive(ctx context.Context, id unit.JobID, req *intake.Request) intake.Answer {
+	var in intake.Input = intake.Begin{}
+	for {
+		switch act := req.Step(in).(type) {
+		case intake.Answer:
+			return act
+		case intake.Create:
+			res := n.create(ctx, id, act.Record)
+			if res == intake.Refused {
+				req.SetRetry(n.budget.WriteWait(n.clock.Now(), statestore.UseSubmit))
+			}
+			in = intake.Created{Result: res}
+		case intake.Load:
+			in = n.loadJob(ctx, id)
+		case intake.AskLeader:
+			in = n.askLeader(ctx, id, act.Withdraw)
+		}
+	}
+}
+
+func (n *Node) create(ctx context.Context, id unit.JobID, rec *checkpoint.Record) intake.CreateResult {
+	if !n.budget.TakeWrites(n.clock.Now(), statestore.UseSubmit, 1) {
+		return intake.Refused
+	}
+	key := checkpoint.Key(id)
+	_, err := n.store.Commit(ctx, statestore.Txn{
+		Guards: []statestore.Guard{{Key: key, Stamp: 0}},
+		Writes: []statestore.Write{{Set: key, Value: rec}},
+	})
+	var conflict *statestore.ConflictError
+	switch n.note(err); {
+	case err == nil:
+		go n.notify(id)
+		return intake.Stored
+	case errors.As(err, &conflict):
+		return intake.Exists
+	case errors.Is(err, statestore.ErrUncertain):
+		return intake.Uncertain
+	}
+	return intake.Refused
+}
+
+// notify tells the leader of a new job. If the notice is lost, the leader's
+// watch finds the job a moment later.
+func (n *Node) notify(id unit.JobID) {
+	v := n.view.Load()
+	if v.epoch != 0 {
+		n.offer(Noticed{Job: id})
+		return
+	}
+	if v.leader == "" || v.leader == n.set.Label {
+		return
+	}
+	if err := n.peers.Notice(context.Background(), v.leader, string(id)); err != nil {
+		n.log.Debug("notice lost", "job", id, "err", err)
+	}
+}
+
+func (n *Node) loadJob(ctx context.Context, id unit.JobID) intake.Loaded {
+	if !n.budget.TakeRequest(n.clock.Now()) {
+		return intake.Loaded{}
+	}
+	item, err := n.store.Get(ctx, checkpoint.Key(id))
+	if n.note(err) != nil {
+		return intake.Loaded{}
+	}
+	if item.Stamp == 0 {
+		return intake.Loaded{OK: true}
+	}
+	rec, err := checkpoint.Decode(item.Value)
+	if err != nil {
+		n.log.Error("job record can't be read", "job", id, "err", err)
+		return intake.Loaded{}
+	}
+	return intake.Loaded{OK: true, Record: rec}
+}
+
+// askLeader asks the core if this node leads, and the leader's node otherwise.
+func (n *Node) askLeader(ctx context.Context, id unit.JobID, withdraw bool) intake.Told {
+	v := n.view.Load()
+	if v.epoch != 0 {
+		return n.askCore(ctx, id, withdraw)
+	}
+	if v.leader == "" || v.leader == n.set.Label {
+		return intake.Told{Outcome: intake.NoLeader}
+	}
+	timeout := askTimeout
+	if withdraw {
+		timeout = withdrawTimeout
+	}
+	reply, err := n.peers.Ask(ctx, v.leader, &meshpb.AskRequest{Job: string(id), Withdraw: withdraw}, timeout)
+	if err != nil {
+		n.log.Debug("leader not reached", "leader", v.leader, "err", err)
+		return intake.Told{Outcome: intake.NoLeader}
+	}
+	return told(reply)
+}
+
+func told(r *meshpb.AskReply) intake.Told {
+	switch r.Outcome {
+	case meshpb.Outcome_OUTCOME_KNOWN:
+		return intake.Told{Outcome: intake.Known, Status: intake.Status{
+			Standing: intake.Standing(r.Standing), Done: int(r.Done), Running: int(r.Running)}}
+	case meshpb.Outcome_OUTCOME_ABSENT:
+		return intake.Told{Outcome: intake.Absent}
+	case meshpb.Outcome_OUTCOME_BUSY:
+		return intake.Told{Outcome: intake.Busy}
+	}
+	return intake.Told{Outcome: intake.NoLeader}
+}
+
+// askCore asks the core of this node. What it answers counts only as long as
+// the node is entitled, so that is checked once more as the answer leaves.
+func (n *Node) askCore(ctx context.Context, id unit.JobID, withdraw bool) intake.Told {
+	ticket := make(chan ReplyAsk, 1)
+	if !n.offer(Asked{Ticket: ticket, Job: id, Withdraw: withdraw}) {
+		return intake.Told{Outcome: intake.Busy}
+	}
+	select {
+	case reply := <-ticket:
+		if reply.Outcome == intake.Known && !n.clock.Now().Before(reply.Until) {
+			return intake.Told{Outcome: intake.NoLeader}
+		}
+		return intake.Told{Outcome: reply.Outcome, Status: reply.Status}
+	case <-ctx.Done():
+		return intake.Told{Outcome: intake.Busy}
+	}
+}
+
+func (n *Node) answer(w http.ResponseWriter, id unit.JobID, a intake.Answer) {
+	n.met.Submissions.WithLabelValues(strconv.Itoa(a.Code)).Inc()
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(intake.RetrySeconds(a.RetryAfter)))
+	}
+	if a.Code != http.StatusOK && a.Code != http.StatusCreated {
+		w.WriteHeader(a.Code)
+		return
+	}
+	body, err := intake.EncodeStatus(id, a.Status)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", contentType)
+	w.WriteHeader(a.Code)
+	w.Write(body)
+}
+
+// beat answers a worker's report.
+func (n *Node) beat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := readBody(w, r, fleet.MaxBody)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	report, err := fleet.DecodeReport(data)
+	if err != nil {
+		n.log.Warn("report can't be read", "err", err)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), reportBudget)
+	defer cancel()
+	ticket := make(chan ReplyReport, 1)
+	reply := ReplyReport{Code: http.StatusServiceUnavailable}
+	if n.offer(Reported{Ticket: ticket, Report: report}) {
+		select {
+		case reply = <-ticket:
+		case <-ctx.Done():
+		}
+	}
+	n.answerReport(w, reply)
+}
+
+func (n *Node) answerReport(w http.ResponseWriter, reply ReplyReport) {
+	var body []byte
+	var err error
+	switch reply.Code {
+	case http.StatusOK:
+		body, err = fleet.EncodeAnswer(reply.Epoch, reply.Orders)
+	case http.StatusMisdirectedRequest:
+		leader := reply.Leader
+		if leader == n.set.Label {
+			leader = ""
+		}
+		body, err = fleet.EncodeRedirect(leader)
+	}
+	// The last moment before the answer leaves: a process that was starved
+	// must not renew a worker's lease after its own entitlement has ended.
+	if err != nil || reply.Code == http.StatusOK && !n.clock.Now().Before(reply.Until) {
+		reply.Code, body = http.StatusServiceUnavailable, nil
+	}
+	n.met.Reports.WithLabelValues(strconv.Itoa(reply.Code)).Inc()
+	if body != nil {
+		w.Header().Set("Content-Type", contentType)
+	}
+	w.WriteHeader(reply.Code)
+	w.Write(body)
+}
+
+// meshServer answers the other nodes.
+type meshServer struct {
+	meshpb.UnimplementedMeshServer
+	n *Node
+}
+
+// Ask answers a poll or a withdrawal that another node forwards.
+func (s *meshServer) Ask(ctx context.Context, r *meshpb.AskRequest) (*meshpb.AskReply, error) {
+	id, err := unit.ParseJobID(r.Job)
+	if err != nil || s.n.view.Load().epoch == 0 {
+		return &meshpb.AskReply{Outcome: meshpb.Outcome_OUTCOME_NOT_LEADER}, nil
+	}
+	t := s.n.askCore(ctx, id, r.Withdraw)
+	outcome := map[intake.Outcome]meshpb.Outcome{
+		intake.Known: meshpb.Outcome_OUTCOME_KNOWN, intake.Absent: meshpb.Outcome_OUTCOME_ABSENT,
+		intake.Busy: meshpb.Outcome_OUTCOME_BUSY, intake.NoLeader: meshpb.Outcome_OUTCOME_NOT_LEADER}[t.Outcome]
+	return &meshpb.AskReply{Outcome: outcome, Standing: string(t.Status.Standing),
+		Done: uint32(t.Status.Done), Running: uint32(t.Status.Running)}, nil
+}
+
+// Notice takes in that a job was stored.
+func (s *meshServer) Notice(_ context.Context, r *meshpb.NoticeRequest) (*meshpb.NoticeReply, error) {
+	id, err := unit.ParseJobID(r.Job)
+	if err != nil || s.n.view.Load().epoch == 0 {
+		return &meshpb.NoticeReply{}, nil
+	}
+	return &meshpb.NoticeReply{Taken: s.n.offer(Noticed{Job: id})}, nil
+}
+
+// Accept stores a submission for a node that can't.
+func (s *meshServer) Accept(ctx context.Context, r *meshpb.AcceptRequest) (*meshpb.AcceptReply, error) {
+	if len(r.Submission) > intake.MaxBody {
+		return &meshpb.AcceptReply{Status: http.StatusBadRequest}, nil
+	}
+	_, ans := s.n.runSubmit(ctx, r.Submission, false)
+	return &meshpb.AcceptReply{Status: uint32(ans.Code), Body: []byte(ans.Status.Standing),
+		RetryAfterS: uint32(ans.RetryAfter.Seconds())}, nil
+}
--- /dev/null
+++ b/internal/controller/term.go
@@ -0,0 +1,496 @@
+package controller
+
+import (
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/round"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// term is what a node holds while it leads: the working copy of everything
+// that the state service, the workers and the cloud are the authority of.
+type term struct {
+	c        *Core
+	epoch    unit.Epoch
+	acquired unit.Instant
+	loaded   bool
+	ready    bool // reconciled: places from now on
+	jobs     map[unit.JobID]*checkpoint.Job
+	specSize map[unit.JobID]int
+	reading  map[unit.JobID]bool
+	fleet    *fleet.Fleet
+	ring     *round.Ring
+	desk     *rental.Desk
+	cloud    *statestore.Bucket
+	teams    map[unit.Team]config.Team
+
+	dirty      bool // something changed since the last plan
+	lastRound  unit.Instant
+	nextPlan   unit.Instant
+	flight     *flight
+	fold       *foldFlight
+	retryFold  unit.Instant
+	lastSeal   unit.Instant
+	listing    bool
+	nextList   unit.Instant
+	nextTypes  unit.Instant
+	nextSweep  unit.Instant
+	nextReload unit.Instant
+	waiting    map[unit.JobID][]waiter
+	firstDone  map[unit.JobID]unit.Instant
+}
+
+// waiter is a withdrawal whose answer waits for the checkpoint.
+type waiter struct {
+	ticket Ticket
+	until  unit.Instant
+}
+
+// waitStored bounds how long a withdrawal waits for its checkpoint.
+const waitStored = 1500 * time.Millisecond
+
+func newTerm(c *Core, now unit.Instant, epoch unit.Epoch) *term {
+	t := &term{c: c, epoch: epoch, acquired: now, jobs: map[unit.JobID]*checkpoint.Job{},
+		specSize: map[unit.JobID]int{}, reading: map[unit.JobID]bool{},
+		desk: rental.NewDesk(c.pol.HireBackoff), ring: round.NewRing(c.pol.RingSlots),
+		waiting: map[unit.JobID][]waiter{}, teams: map[unit.Team]config.Team{},
+		lastSeal: now, nextTypes: now.Add(time.Minute)}
+	w, p := c.set.Params.Workers, c.set.Params
+	t.fleet = fleet.New(fleet.Times{Report: w.ReportInterval(), Lease: w.Lease()}, epoch, now, t.job)
+	t.fleet.SetTypes(c.types)
+	t.cloud = statestore.NewBucket(p.Cloud.RPS*0.8, max(1, p.Cloud.RPS))
+	for _, team := range p.Teams {
+		t.teams[team.Name] = team
+	}
+	return t
+}
+
+func (t *term) job(id unit.JobID) *checkpoint.Job { return t.jobs[id] }
+
+func (t *term) reseal(e unit.Epoch) {
+	t.epoch = e
+	t.fleet.SetEpoch(e)
+}
+
+// abandon answers those who wait when leadership ends.
+func (t *term) abandon() {
+	for id := range t.waiting {
+		t.answerWaiters(id, intake.NoLeader, 0)
+	}
+}
+
+func (t *term) take(now unit.Instant, in Input) {
+	switch in := in.(type) {
+	case Loaded:
+		t.load(now, in)
+	case JobRead:
+		t.jobRead(now, in)
+	case Noticed:
+		t.noticed(in)
+	case Committed:
+		t.committed(now, in)
+	case DoDone:
+		t.doDone(now, in)
+	case HireDone:
+		t.hireDone(now, in)
+	case ReleaseDone:
+		t.releaseDone(now, in)
+	case ListDone:
+		t.listDone(now, in)
+	}
+}
+
+// advance does whatever is due.
+func (t *term) advance(now unit.Instant) {
+	if !t.loaded {
+		return
+	}
+	t.sweep(now)
+	if !t.c.lead.Entitled(now) {
+		return
+	}
+	t.reconciled(now)
+	t.maybeSeal(now)
+	t.maybeFold(now)
+	t.maybeRound(now)
+	t.callCloud(now)
+	t.push(now)
+}
+
+// load takes in all records, as the successor of whoever led before.
+func (t *term) load(now unit.Instant, in Loaded) {
+	if in.Epoch != t.epoch && t.loaded {
+		return
+	}
+	if !in.OK {
+		t.c.emit(LoadAll{Epoch: t.epoch})
+		return
+	}
+	for _, item := range in.Jobs {
+		t.addJob(now, unit.JobID(strings.TrimPrefix(item.Key, checkpoint.KeyPrefix)), item)
+	}
+	var stored []round.Stored
+	for _, item := range in.Rounds {
+		r, err := round.Decode(item.Value)
+		if err != nil {
+			t.c.log.Error("round record can't be read", "key", item.Key, "err", err)
+			continue
+		}
+		stored = append(stored, round.Stored{Key: item.Key, Record: r, Version: item.Stamp})
+	}
+	ring, open := round.Restore(t.c.pol.RingSlots, stored)
+	t.ring = ring
+	for _, r := range open {
+		t.replay(now, r)
+	}
+	t.loaded, t.dirty = true, true
+	t.c.log.Info("checkpoints read", "epoch", t.epoch, "jobs", len(t.jobs), "open_rounds", len(open))
+}
+
+// addJob takes in a job record with the placements it holds.
+func (t *term) addJob(now unit.Instant, id unit.JobID, item statestore.Item) {
+	r, err := checkpoint.Decode(item.Value)
+	if err != nil {
+		t.c.log.Error("job record can't be read", "job", id, "err", err)
+		return
+	}
+	j := checkpoint.NewJob(id, r, item.Stamp, now)
+	t.jobs[id] = j
+	t.specSize[id] = statestore.JSONSize(&r.Spec)
+	for _, g := range r.Live {
+		t.restore(now, j, g)
+	}
+	t.dirty = true
+}
+
+// replay applies a round that is not folded into all its jobs yet. Whether its
+// effects came about is not known: placements wait for reports, rentals are
+// repeated under their names, releases are sent again.
+func (t *term) replay(now unit.Instant, r *round.Record) {
+	for _, s := range r.Starts {
+		j := t.jobs[s.Job]
+		if j == nil || j.StoredRound >= r.No {
+			t.ring.Folded(s.Job, r.No)
+			continue
+		}
+		t.restore(now, j, checkpoint.Group{Machine: s.Machine, Shift: s.Shift, Attempt: unit.Attempt(r.No), Tasks: s.Tasks})
+		j.Round = max(j.Round, r.No)
+		j.Touch(now)
+	}
+	for _, h := range r.Hires {
+		t.desk.Hire(now, h.Name, h.Offer, h.Count, true)
+	}
+	for _, id := range r.Releases {
+		t.fleet.Ensure(now, id).Releasing = true
+		t.desk.Release(id)
+	}
+}
+
+// restore puts placements back that an earlier leader recorded. They may or
+// may not have been launched, under any seal below ours.
+func (t *term) restore(now unit.Instant, j *checkpoint.Job, g checkpoint.Group) {
+	m := t.fleet.Ensure(now, g.Machine)
+	m.Shift = max(m.Shift, g.Shift)
+	g.Tasks.Each(func(i unit.TaskIndex) bool {
+		if int(i) >= j.Spec.Tasks || j.Done.Has(i) {
+			return true
+		}
+		if old := j.Live[i]; old != nil {
+			if old.Attempt >= g.Attempt {
+				return true
+			}
+			// The later attempt was decided when the earlier was over.
+			t.fleet.Withdraw(now, old)
+		}
+		p := &checkpoint.Placement{Job: j, Task: i, Machine: g.Machine, Shift: g.Shift,
+			Attempt: g.Attempt, Seal: t.epoch - 1, Since: now}
+		t.fleet.Place(now, p)
+		if j.Phase.Final() {
+			t.fleet.Halt(now, p, 0)
+		}
+		return true
+	})
+}
+
+// reconciled decides when placing may begin: every machine with placements
+// has reported to us, or a report interval and more has passed.
+func (t *term) reconciled(now unit.Instant) {
+	if t.ready {
+		return
+	}
+	interval := t.c.set.Params.Workers.ReportInterval()
+	if now.Sub(t.acquired) < interval+interval/2 && !t.allHeard() {
+		return
+	}
+	t.ready, t.dirty = true, true
+	t.c.met.Recoveries.Inc()
+	t.c.log.Info("reconciled", "epoch", t.epoch, "machines", t.fleet.Len(), "after", now.Sub(t.acquired))
+}
+
+func (t *term) allHeard() bool {
+	heard := false
+	for _, m := range t.fleet.Machines() {
+		if m.Busy() && (!m.Up || m.Seal < t.epoch) {
+			return false
+		}
+		heard = heard || m.Up
+	}
+	return heard
+}
+
+// sweep does what only time brings about.
+func (t *term) sweep(now unit.Instant) {
+	if now.Before(t.nextSweep) {
+		return
+	}
+	t.nextSweep = now.Add(200 * time.Millisecond)
+	t.ended(now, t.fleet.Expire(now))
+	for id, ws := range t.waiting {
+		if len(ws) > 0 && !now.Before(ws[0].until) {
+			t.answerWaiters(id, intake.Busy, 0)
+		}
+	}
+	t.c.met.watch(t, now)
+}
+
+// reported takes in a report and answers it.
+func (t *term) reported(now unit.Instant, in Reported) {
+	reply := ReplyReport{Ticket: in.Ticket, Code: http.StatusOK, Epoch: t.epoch, Until: t.c.lead.EntitledUntil()}
+	switch {
+	case in.Report.Seal > t.epoch:
+		// Somebody else was elected, or a raise of ours came through late.
+		t.c.leadStep(now, leadership.Deposed{})
+		t.c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusServiceUnavailable})
+		return
+	case !t.loaded:
+		// Not knowing anything yet, we can at least keep the lease alive.
+		t.fleet.Ensure(now, in.Report.Machine).LastAnswer = now
+		t.c.emit(reply)
+		return
+	}
+	m := t.fleet.Ensure(now, in.Report.Machine)
+	if in.Report.Shift < m.Shift {
+		// Its lease is surely over; the answer would be dropped.
+		t.c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusServiceUnavailable})
+		return
+	}
+	// A report overtaken by the answer to a direct command is stale, and the
+	// worker still waits for its answer.
+	if changes := t.fleet.Take(now, in.Report, true); !changes.Stale {
+		t.changed(now, m, changes)
+	}
+	reply.Orders = t.fleet.Orders(now, m, true)
+	t.c.emit(reply)
+}
+
+func (t *term) doDone(now unit.Instant, in DoDone) {
+	t.fleet.Pushed(in.Machine)
+	if in.Report == nil || in.Report.Machine != in.Machine || t.fleet.Machine(in.Machine) == nil {
+		return
+	}
+	if in.Report.Seal > t.epoch && in.Epoch == t.epoch {
+		t.c.leadStep(now, leadership.Deposed{})
+		return
+	}
+	changes := t.fleet.Take(now, in.Report, false)
+	if !changes.Stale {
+		t.changed(now, t.fleet.Machine(in.Machine), changes)
+	}
+}
+
+// changed follows what a report brought.
+func (t *term) changed(now unit.Instant, m *fleet.Machine, ch fleet.Changes) {
+	if ch.NewUp {
+		t.dirty = true
+		t.c.log.Info("machine up", "machine", m.ID, "type", m.Type, "zone", m.Zone, "spot", m.Spot, "shift", m.Shift, "epoch", t.epoch)
+	}
+	if ch.Noticed {
+		t.drain(now, m)
+	}
+	for _, s := range ch.Started {
+		m.Suspect = 0
+		t.c.log.Debug("task running", "job", s.Placement.Job.ID, "task", s.Placement.Task, "machine", m.ID, "epoch", t.epoch)
+	}
+	t.ended(now, ch)
+}
+
+// drain stops what is on a machine that the cloud takes away, with leave to
+// save as much as the notice allows.
+func (t *term) drain(now unit.Instant, m *fleet.Machine) {
+	t.dirty = true
+	left := m.NoticeAt.Sub(now)
+	t.c.log.Info("machine to be taken", "machine", m.ID, "in", left, "epoch", t.epoch)
+	for _, p := range m.Live() {
+		p.Drain = true
+		t.fleet.Halt(now, p, unit.Seconds(p.Job.Spec.SaveS))
+	}
+}
+
+const (
+	maxBackoff   = 30 * time.Second
+	avoidFaulty  = time.Minute
+	avoidRefused = 3 * time.Second
+	// suspectAfter failed tasks in a row, of jobs that run elsewhere, a
+	// machine gets no more.
+	suspectAfter = 3
+	// blameJob: after this many failures in a row on different machines it is
+	// the job, not the machines.
+	blameJob = 3
+)
+
+func (t *term) ended(now unit.Instant, ch fleet.Changes) {
+	for _, e := range ch.Ended {
+		t.dirty = true
+		j, m := e.Placement.Job, t.fleet.Machine(e.Placement.Machine)
+		t.c.log.Debug("task ended", "job", j.ID, "task", e.Placement.Task, "machine", e.Placement.Machine,
+			"cause", e.Cause, "attempt", e.Placement.Attempt, "epoch", t.epoch)
+		switch e.Cause {
+		case fleet.CauseError:
+			t.failed(now, j, m)
+		case fleet.CauseNoRoom, fleet.CauseBusy, fleet.CauseUnknown:
+			t.avoid(now, j, e.Placement.Machine, avoidRefused)
+			j.NotBefore = max(j.NotBefore, now.Add(time.Second))
+			t.c.met.Refusals.Inc()
+		case fleet.CauseDone:
+			if m != nil {
+				m.Suspect = 0
+			}
+		}
+	}
+}
+
+func (t *term) avoid(now unit.Instant, j *checkpoint.Job, id unit.MachineID, d time.Duration) {
+	if j.Avoid == nil {
+		j.Avoid = map[unit.MachineID]unit.Instant{}
+	}
+	j.Avoid[id] = now.Add(d)
+}
+
+// failed backs the job off, and counts the failure against the machine unless
+// the job fails wherever it goes.
+func (t *term) failed(now unit.Instant, j *checkpoint.Job, m *fleet.Machine) {
+	j.Errors++
+	wait := min(maxBackoff, 500*time.Millisecond<<min(j.Errors, 7))
+	j.NotBefore = max(j.NotBefore, now.Add(wait))
+	if m == nil {
+		return
+	}
+	t.avoid(now, j, m.ID, avoidFaulty)
+	if j.Errors > blameJob {
+		return
+	}
+	m.Suspect++
+	if m.Suspect >= suspectAfter && !m.Drained {
+		m.Drained = true
+		t.c.log.Info("machine drained as faulty", "machine", m.ID, "epoch", t.epoch)
+	}
+}
+
+func (t *term) noticed(in Noticed) {
+	j := t.jobs[in.Job]
+	if t.reading[in.Job] || (j != nil && (in.Stamp <= j.Version || j.Writing)) || !t.loaded {
+		return
+	}
+	if j != nil && in.Stamp == 0 {
+		return
+	}
+	t.reading[in.Job] = true
+	t.c.emit(ReadJob{Job: in.Job})
+}
+
+func (t *term) jobRead(now unit.Instant, in JobRead) {
+	delete(t.reading, in.Job)
+	if !in.OK || in.Item.Stamp == 0 {
+		return
+	}
+	j := t.jobs[in.Job]
+	if j == nil {
+		t.addJob(now, in.Job, in.Item)
+		t.c.log.Info("job taken in", "job", in.Job, "epoch", t.epoch)
+		return
+	}
+	if j.Writing || in.Item.Stamp <= j.Version {
+		return
+	}
+	// Only we change records, under the guard of our epoch: this is a write
+	// of ours whose answer was lost. Write again, on top of it.
+	t.c.met.CASConflicts.Inc()
+	j.Version = in.Item.Stamp
+	if r, err := checkpoint.Decode(in.Item.Value); err == nil && r.Phase.Final() {
+		if !j.Phase.Final() {
+			j.Phase, j.Queue = r.Phase, nil
+		}
+		j.StoredPhase = r.Phase
+	}
+	j.Touch(now)
+}
+
+// asked answers a poll, or begins a withdrawal.
+func (t *term) asked(now unit.Instant, in Asked) {
+	j := t.jobs[in.Job]
+	if j == nil {
+		t.noticed(Noticed{Job: in.Job})
+		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: intake.Absent})
+		return
+	}
+	if !in.Withdraw || j.StoredPhase.Final() {
+		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: intake.Known, Status: intake.StatusOf(j), Until: t.c.lead.EntitledUntil()})
+		return
+	}
+	if !j.Phase.Final() {
+		t.c.log.Info("job withdrawn", "job", j.ID, "epoch", t.epoch)
+	}
+	j.Cancel(now)
+	t.haltAll(now, j)
+	t.waiting[j.ID] = append(t.waiting[j.ID], waiter{in.Ticket, now.Add(waitStored)})
+	t.dirty = true
+}
+
+func (t *term) haltAll(now unit.Instant, j *checkpoint.Job) {
+	if j.Phase != checkpoint.Cancelled {
+		return
+	}
+	ids := make([]unit.TaskIndex, 0, len(j.Live))
+	for i := range j.Live {
+		ids = append(ids, i)
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+	for _, i := range ids {
+		if !t.proposed(j.Live[i]) {
+			t.fleet.Halt(now, j.Live[i], 0)
+		}
+	}
+}
+
+func (t *term) answerWaiters(id unit.JobID, o intake.Outcome, until unit.Instant) {
+	for _, w := range t.waiting[id] {
+		reply := ReplyAsk{Ticket: w.ticket, Outcome: o, Until: until}
+		if j := t.jobs[id]; j != nil {
+			reply.Status = intake.StatusOf(j)
+		}
+		t.c.emit(reply)
+	}
+	delete(t.waiting, id)
+}
+
+// push sends direct commands where they are due.
+func (t *term) push(now unit.Instant) {
+	for _, m := range t.fleet.Pushes() {
+		orders := t.fleet.Orders(now, m, false)
+		if len(orders) == 0 {
+			t.fleet.Pushed(m.ID)
+			continue
+		}
+		t.c.emit(Do{Machine: m.ID, Addr: m.Addr, Epoch: t.epoch, Shift: m.Shift, Orders: orders})
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -477,6 +477,22 @@
 	return c
 }
 
+// Fail notes that a machine has stopped by itself, with all that was on it.
+func (f *Fleet) Fail(now unit.Instant, m *Machine) Changes {
+	var c Changes
+	f.endAll(now, m, &c)
+	m.Failed, m.Up = true, false
+	return c
+}
+
+// Describe sets what is known of a machine that has not reported.
+func (f *Fleet) Describe(m *Machine, t unit.MachineType, z unit.Zone, spot bool) {
+	if m.Zone != z {
+		f.moveZone(m, z)
+	}
+	m.Type, m.Spot = t, spot
+}
+
 // LeaseOver tells whether the machine's worker has surely lost its lease: it
 // counts from the last answer that anybody entitled can have given.
 func (f *Fleet) LeaseOver(now unit.Instant, m *Machine) bool {
--- a/internal/intake/wire.go
+++ b/internal/intake/wire.go
@@ -256,3 +256,10 @@
 	}
 	return s
 }
+
+// EncodeStatus makes the body of a 200 or 201.
+func EncodeStatus(id unit.JobID, s Status) ([]byte, error) {
+	w := wireStatus{ID: id, Standing: s.Standing}
+	w.Done, w.Running = &s.Done, &s.Running
+	return msgpack.Marshal(w)
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,111 @@
+// Package mesh carries what the controller nodes say to one another over gRPC.
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"badgerbay/internal/config"
+	"badgerbay/internal/mesh/meshpb"
+)
+
+const (
+	maxMessage  = 256 << 10
+	bufferSize  = 8 << 10
+	callTimeout = 600 * time.Millisecond
+)
+
+// Peers are the connections to the other nodes.
+type Peers struct {
+	conns map[string]*grpc.ClientConn
+	names []string
+}
+
+// Dial prepares connections to the peers; they are made when first used.
+func Dial(peers []config.Peer) (*Peers, error) {
+	p := &Peers{conns: map[string]*grpc.ClientConn{}}
+	for _, peer := range peers {
+		conn, err := grpc.NewClient("passthrough:///"+peer.PeerAddr,
+			grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
+			grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
+			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
+				Backoff: backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 2 * time.Second}}))
+		if err != nil {
+			p.Close()
+			return nil, fmt.Errorf("peer %s: %w", peer.Label, err)
+		}
+		p.conns[peer.Label] = conn
+		p.names = append(p.names, peer.Label)
+	}
+	return p, nil
+}
+
+// Close ends all connections.
+func (p *Peers) Close() {
+	for _, c := range p.conns {
+		c.Close()
+	}
+}
+
+// Names lists the peers.
+func (p *Peers) Names() []string { return p.names }
+
+func (p *Peers) client(name string) (meshpb.MeshClient, error) {
+	conn := p.conns[name]
+	if conn == nil {
+		return nil, fmt.Errorf("no peer %q", name)
+	}
+	return meshpb.NewMeshClient(conn), nil
+}
+
+// Ask polls or withdraws a job at the peer.
+func (p *Peers) Ask(ctx context.Context, name string, req *meshpb.AskRequest, timeout time.Duration) (*meshpb.AskReply, error) {
+	c, err := p.client(name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.Ask(ctx, req)
+}
+
+// Notice tells the peer of a job.
+func (p *Peers) Notice(ctx context.Context, name, job string) error {
+	c, err := p.client(name)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err = c.Notice(ctx, &meshpb.NoticeRequest{Job: job})
+	return err
+}
+
+// Accept hands a submission to the peer.
+func (p *Peers) Accept(ctx context.Context, name string, submission []byte) (*meshpb.AcceptReply, error) {
+	c, err := p.client(name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	return c.Accept(ctx, &meshpb.AcceptRequest{Submission: submission})
+}
+
+// Serve answers peers on the listener until it is closed.
+func Serve(l net.Listener, impl meshpb.MeshServer) error {
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
+		grpc.MaxConcurrentStreams(256), grpc.ConnectionTimeout(5*time.Second),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}))
+	meshpb.RegisterMeshServer(s, impl)
+	return s.Serve(l)
+}
