Rent by patience, return idle machines by their boot time, pack holders of the image

Work that can wait now gets cheap machines only, among image holders the fullest goes first, and a machine is returned after twice its boot time. Room is kept for classes that must start faster than a machine boots. Gangs are placed whole or not at all.

--- a/internal/checkpoint/spec.go
+++ b/internal/checkpoint/spec.go
@@ -25,6 +25,7 @@
 	Class       unit.Class                  `msgpack:"c" json:"c"`
 	Team        unit.Team                   `msgpack:"t" json:"t"`
 	Service     bool                        `msgpack:"sv,omitempty" json:"sv,omitempty"`
+	Gang        bool                        `msgpack:"ga,omitempty" json:"ga,omitempty"`
 	Priority    Priority                    `msgpack:"p" json:"p"`
 	Tasks       int                         `msgpack:"n" json:"n"`
 	CPUs        float64                     `msgpack:"cpu" json:"cpu"`
--- a/internal/controller/cloud.go
+++ b/internal/controller/cloud.go
@@ -53,6 +53,9 @@
 	}
 	t.dirty = true
 	for _, id := range in.Machines {
+		if t.fleet.Gone(id) {
+			continue // a repeated rental names what it rented the first time
+		}
 		known := t.fleet.Machine(id) != nil
 		m := t.fleet.Ensure(now, id)
 		if !known {
@@ -86,8 +89,11 @@
 	seen := map[unit.MachineID]bool{}
 	for _, l := range in.Machines {
 		seen[l.ID] = true
-		t.listed(now, in.Sent, l)
+		if !t.fleet.Gone(l.ID) {
+			t.listed(now, in.Sent, l)
+		}
 	}
+	t.fleet.Forget(now, 10*lag+10*time.Minute)
 	for _, m := range t.fleet.Machines() {
 		if seen[m.ID] {
 			continue
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -90,7 +90,7 @@
 			return true
 		})
 	}
-	r.Releases = t.releasable(now, t.c.set.Params.State.ValueBytes()-r.SizeOf())
+	r.Releases = t.releasable(now, plan.Keep, t.c.set.Params.State.ValueBytes()-r.SizeOf())
 	if r.Empty() {
 		return
 	}
@@ -190,8 +190,8 @@
 	p := t.c.set.Params
 	w := &round.World{Now: now, WallMs: t.c.clock.Wall().UnixMilli(), No: no, Epoch: t.epoch, Fleet: t.fleet,
 		Types: t.c.types, Zones: p.Zones, Teams: t.teams, Coming: t.coming(now),
-		Blocked:    func(o rental.Offer) bool { return t.desk.Blocked(now, o) },
-		Policy:     t.c.pol,
+		Blocked: func(o rental.Offer) bool { return t.desk.Blocked(now, o) },
+		Policy:  t.c.pol, Expect: t.expect, Spares: t.spares(),
 		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.desk.Pending()) < 4,
 		ValueBytes: p.State.ValueBytes(), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
 	for _, j := range t.jobs {
@@ -237,14 +237,14 @@
 
 // releasable lists the machines to return in this round, as many as fit room
 // bytes of its record.
-func (t *term) releasable(now unit.Instant, room int) []unit.MachineID {
+func (t *term) releasable(now unit.Instant, keep map[unit.MachineID]bool, room int) []unit.MachineID {
 	var out []unit.MachineID
 	silent := t.silent(now)
 	for _, m := range t.fleet.Machines() {
 		if m.Releasing || len(out) == rental.MaxRelease {
 			continue
 		}
-		idle := !m.Busy() && (now.Sub(m.IdleSince) > t.c.pol.IdleReturn || m.Drained)
+		idle := !m.Busy() && (now.Sub(m.IdleSince) > t.idleLimit(m) && !keep[m.ID] || m.Drained)
 		if m.Shift == 0 {
 			idle = t.overdue(now, m)
 		}
@@ -260,6 +260,28 @@
 	return out
 }
 
+// idleLimit is how long a machine may be idle: as long as its like takes to
+// come up again, and some. Longer costs more than to rent it anew.
+func (t *term) idleLimit(m *fleet.Machine) time.Duration {
+	limit := t.c.pol.IdleReturn
+	if typ := t.fleet.Type(m.Type); typ != nil && typ.Boot > 0 {
+		limit = min(limit, max(t.c.pol.IdleLeast, time.Duration(t.c.pol.IdleBoots*float64(typ.Boot))))
+	}
+	return limit
+}
+
+// spares are the specs of the classes that must start faster than machines
+// come up, as last seen.
+func (t *term) spares() []*checkpoint.Spec {
+	var out []*checkpoint.Spec
+	for _, class := range t.quick {
+		if s := t.lastSpec[class]; s != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // silent picks a machine that has stopped reporting while nearly all others
 // go on. Returning it proves that its tasks are gone sooner than its lease
 // does. Many silent machines at once look like a cut, and are left alone.
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -47,7 +47,9 @@
 	nextSweep  unit.Instant
 	nextReload unit.Instant
 	waiting    map[unit.JobID][]waiter
-	firstDone  map[unit.JobID]unit.Instant
+	expect     map[unit.Class]round.Expect
+	quick      []unit.Class // classes that must start faster than machines come up
+	lastSpec   map[unit.Class]*checkpoint.Spec
 }
 
 // waiter is a withdrawal whose answer waits for the checkpoint.
@@ -64,6 +66,7 @@
 		specSize: map[unit.JobID]int{}, reading: map[unit.JobID]bool{},
 		desk: rental.NewDesk(c.pol.HireBackoff), ring: round.NewRing(c.pol.RingSlots),
 		waiting: map[unit.JobID][]waiter{}, teams: map[unit.Team]config.Team{},
+		expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{},
 		lastSeal: now, nextTypes: now.Add(time.Minute)}
 	w, p := c.set.Params.Workers, c.set.Params
 	t.fleet = fleet.New(fleet.Times{Report: w.ReportInterval(), Lease: w.Lease()}, epoch, now, t.job)
@@ -72,9 +75,29 @@
 	for _, team := range p.Teams {
 		t.teams[team.Name] = team
 	}
+	t.objectives()
 	return t
 }
 
+// quickStart: a class that must start within this is kept room free for.
+const quickStart = 10 * time.Second
+
+func (t *term) objectives() {
+	for _, o := range t.c.set.Params.Objectives {
+		e, within := t.expect[o.Class], unit.Seconds(o.WithinS)
+		switch {
+		case o.Kind == "wait" && within > 0:
+			e.Start = within
+			if within <= quickStart {
+				t.quick = append(t.quick, o.Class)
+			}
+		case o.Kind == "finished" && within > 0:
+			e.Finish = within
+		}
+		t.expect[o.Class] = e
+	}
+}
+
 func (t *term) job(id unit.JobID) *checkpoint.Job { return t.jobs[id] }
 
 func (t *term) reseal(e unit.Epoch) {
@@ -166,6 +189,9 @@
 	}
 	j := checkpoint.NewJob(id, r, item.Stamp, now)
 	t.jobs[id] = j
+	if old := t.lastSpec[r.Spec.Class]; old == nil || r.Phase == checkpoint.Active {
+		t.lastSpec[r.Spec.Class] = &j.Spec
+	}
 	t.specSize[id] = statestore.JSONSize(&r.Spec)
 	for _, g := range r.Live {
 		t.restore(now, j, g)
@@ -278,6 +304,10 @@
 		t.c.emit(reply)
 		return
 	}
+	if t.fleet.Gone(in.Report.Machine) {
+		t.c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusServiceUnavailable})
+		return
+	}
 	m := t.fleet.Ensure(now, in.Report.Machine)
 	if in.Report.Shift < m.Shift {
 		// Its lease is surely over; the answer would be dropped.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -116,12 +116,14 @@
 	takeover unit.Instant
 	epoch    unit.Epoch
 	tombs    int
+	gone     map[unit.MachineID]unit.Instant // machines surely gone, and since when
 }
 
 // New returns an empty fleet of a leader that acquired its epoch at takeover.
 func New(times Times, epoch unit.Epoch, takeover unit.Instant, jobs func(unit.JobID) *checkpoint.Job) *Fleet {
 	return &Fleet{times: times, epoch: epoch, takeover: takeover, jobs: jobs,
-		types: map[unit.MachineType]*Type{}, machines: map[unit.MachineID]*Machine{}}
+		types: map[unit.MachineType]*Type{}, machines: map[unit.MachineID]*Machine{},
+		gone: map[unit.MachineID]unit.Instant{}}
 }
 
 // SetTypes takes in the machine types.
@@ -214,6 +216,17 @@
 	return m.strayRuns()
 }
 
+// Anchored tells whether a service runs on the machine, so that it won't be
+// returned soon anyway.
+func (m *Machine) Anchored() bool {
+	for _, p := range m.places {
+		if p.State != checkpoint.Ended && p.Job.Spec.Service {
+			return true
+		}
+	}
+	return false
+}
+
 func less(a, b unit.TaskID) bool {
 	if a.Job != b.Job {
 		return a.Job < b.Job
@@ -380,7 +393,7 @@
 		return
 	}
 	switch e.State {
-	case stateFetching:
+	case stateFetching, stateGathering:
 		p.State = checkpoint.Fetching
 	case stateRunning:
 		f.touchImage(now, m, &p.Job.Spec)
@@ -474,6 +487,7 @@
 	m.Gone = true
 	m.Up = false
 	delete(f.machines, id)
+	f.gone[id] = now
 	return c
 }
 
@@ -485,6 +499,19 @@
 	return c
 }
 
+// Gone tells whether a machine is known to be gone. Old lists and late reports
+// may still name it.
+func (f *Fleet) Gone(id unit.MachineID) bool { _, gone := f.gone[id]; return gone }
+
+// Forget drops the memory of machines gone for longer than d.
+func (f *Fleet) Forget(now unit.Instant, d time.Duration) {
+	for id, at := range f.gone {
+		if now.Sub(at) > d {
+			delete(f.gone, id)
+		}
+	}
+}
+
 // Describe sets what is known of a machine that has not reported.
 func (f *Fleet) Describe(m *Machine, t unit.MachineType, z unit.Zone, spot bool) {
 	if m.Zone != z {
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -25,7 +25,9 @@
 	stateFetching State = "fetching"
 	stateRunning  State = "running"
 	stateFlushing State = "flushing"
-	stateExited   State = "exited"
+	// stateGathering: a task of a gang that waits for the others.
+	stateGathering State = "gathering"
+	stateExited    State = "exited"
 )
 
 // Cause of an exit.
@@ -39,7 +41,11 @@
 	CauseNoRoom  Cause = "no_room"
 	CauseBusy    Cause = "busy"
 	CauseUnknown Cause = "unknown"
-	CauseLost    Cause = "lost" // ours: the machine or its lease has ended
+	// CausePeers and CauseIncomplete end the task of a gang whose others are
+	// gone, or did not come.
+	CausePeers      Cause = "peers"
+	CauseIncomplete Cause = "incomplete"
+	CauseLost       Cause = "lost" // ours: the machine or its lease has ended
 )
 
 type wireEntry struct {
@@ -148,7 +154,7 @@
 
 func known(s State) bool {
 	switch s {
-	case stateFetching, stateRunning, stateFlushing, stateExited:
+	case stateFetching, stateGathering, stateRunning, stateFlushing, stateExited:
 		return true
 	}
 	return false
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -112,7 +112,7 @@
 		return http.StatusUnprocessableEntity
 	}
 	tasks := 1
-	if s.Service {
+	if s.Service || s.Gang {
 		tasks = s.Tasks
 	}
 	all := s.Need().Times(tasks)
--- a/internal/intake/wire.go
+++ b/internal/intake/wire.go
@@ -106,6 +106,8 @@
 	case "batch":
 	case "service":
 		p.sub.Spec.Service = true
+	case "group":
+		p.sub.Spec.Gang = true
 	default:
 		return fmt.Errorf("%.32q is no shape", v)
 	}
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -14,11 +14,15 @@
 ring_slots = 32
 fold_age_s = 0.5
 
-# Machines: returned after this long without a task; how long a kind that the
+# Machines: returned after this long without a task, but no later than so many
+# times what a machine of the type takes to boot, and no sooner than the least;
+# how long a kind that the
 # cloud had none of is not asked for again; how many times its usual boot time
 # a machine may take, and at least how long, before it is given up; how long a
 # worker may be silent before its machine is given back.
 idle_return_s = 120
+idle_boots = 2
+idle_least_s = 25
 hire_backoff_s = 15
 boot_factor = 4
 boot_floor_s = 60
@@ -31,10 +35,9 @@
 # guaranteed work does not wait.
 preempt_after_s = 10
 
-# Room kept free for classes that must start faster than a machine boots: a
-# share of what the class has running, and at least so many tasks.
-spare_share = 0.1
-spare_tasks = 2
+# Room kept free for classes that must start faster than a machine boots, in
+# tasks.
+spare_tasks = 3
 
 # Whether tasks that may use spot machines go there first.
 prefer_spot = True
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -34,13 +34,14 @@
 	FoldAge      time.Duration `star:"fold_age_s" min:"0.05" max:"10"`
 	RingSlots    int           `star:"ring_slots" min:"4" max:"256"`
 	IdleReturn   time.Duration `star:"idle_return_s" min:"5" max:"3600"`
+	IdleLeast    time.Duration `star:"idle_least_s" min:"1" max:"3600"`
+	IdleBoots    float64       `star:"idle_boots" min:"0" max:"100"`
 	HireBackoff  time.Duration `star:"hire_backoff_s" min:"1" max:"600"`
 	BootFactor   float64       `star:"boot_factor" min:"1.5" max:"20"`
 	ReservedBoot time.Duration `star:"boot_floor_s" min:"1" max:"600"`
 	SilentAfter  time.Duration `star:"silent_release_s" min:"5" max:"600"`
 	ResealEvery  time.Duration `star:"reseal_s" min:"5" max:"600"`
 	PreemptAfter time.Duration `star:"preempt_after_s" min:"0" max:"600"`
-	Spare        float64       `star:"spare_share" min:"0" max:"1"`
 	SpareTasks   int           `star:"spare_tasks" min:"0" max:"1000"`
 	PreferSpot   bool          `star:"prefer_spot"`
 }
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -31,7 +31,8 @@
 	Types      []*fleet.Type
 	Zones      []unit.Zone
 	Teams      map[unit.Team]config.Team
-	Waits      map[unit.Class]time.Duration // objectives: start within
+	Expect     map[unit.Class]Expect
+	Spares     []*checkpoint.Spec // classes to keep room free for
 	Coming     []Coming
 	Blocked    func(rental.Offer) bool
 	MayHire    bool
@@ -44,14 +45,17 @@
 // Stop is a placement to be stopped to make room.
 type Stop struct{ Placement *checkpoint.Placement }
 
+// Expect is what the objectives say of a class; 0: nothing.
+type Expect struct{ Start, Finish time.Duration }
+
 // Plan is what a round decides.
 type Plan struct {
 	Record Record
 	Stops  []Stop
 	// Short counts the tasks that found no room.
 	Short int
-	// Reason a hire was made for, for the log.
-	HireFor unit.JobID
+	// Keep are idle machines that hold the room kept free for a class.
+	Keep map[unit.MachineID]bool
 }
 
 type bin struct {
@@ -91,6 +95,7 @@
 		}
 	}
 	p.rent(short)
+	p.keepSpare()
 	return p.plan
 }
 
@@ -166,6 +171,10 @@
 // zoneRoom tells how many more tasks of the job may be in the zone, given
 // where its other tasks are or are about to be.
 func (p *planner) zoneRoom(j *checkpoint.Job, z unit.Zone) int {
+	// A machine whose zone is not known yet may be in any.
+	if j.ByZone[""] > 0 && (j.Spec.OneZone || j.Spec.Spread) {
+		return 0
+	}
 	if j.Spec.OneZone {
 		for other, n := range j.ByZone {
 			if n > 0 && other != z {
@@ -193,6 +202,9 @@
 	}
 	tasks := queued(j, left)
 	bins := p.ranked(j)
+	if j.Spec.Gang && !p.holdsAll(j, bins, left) {
+		return p.wholeGang(j, left)
+	}
 	for _, b := range bins {
 		if len(tasks) == 0 || p.full {
 			break
@@ -262,7 +274,15 @@
 		if p.w.Policy.PreferSpot && x.spot != y.spot {
 			return x.spot
 		}
-		return x.free.CPUs > y.free.CPUs
+		if !x.m.HasImage(j.Spec.Image) {
+			return x.free.CPUs > y.free.CPUs
+		}
+		// Among those that hold the image, the fullest: so that others run
+		// empty and can be returned.
+		if ax, ay := x.m.Anchored(), y.m.Anchored(); ax != ay {
+			return ax
+		}
+		return x.free.CPUs < y.free.CPUs
 	})
 	return out
 }
@@ -319,12 +339,67 @@
 }
 
 func (p *planner) mayPreempt(j *checkpoint.Job) bool {
-	if j.Spec.Priority >= checkpoint.High || p.withinGuarantee(j) {
+	if j.Spec.Priority >= checkpoint.High || p.withinGuarantee(j) || p.patience(j) < urgentBelow {
 		return true
 	}
 	return p.w.Now.Sub(j.QueuedAt) >= p.w.Policy.PreemptAfter
 }
 
+// holdsAll tells whether a gang fits the free room whole: all its tasks that
+// are not done must be queued, and there must be room for each now. A gang
+// enters a round whole or not at all.
+func (p *planner) holdsAll(j *checkpoint.Job, bins []*bin, left int) bool {
+	if len(j.Live) > 0 || left < j.Queue.Len() {
+		return false
+	}
+	room := map[unit.Zone]int{}
+	size := p.size
+	for _, b := range bins {
+		n := fitCount(b.free, j.Spec.Need())
+		room[b.zone] = min(p.zoneRoom(j, b.zone), room[b.zone]+n)
+		size += startSize + spanSize + len(j.ID) + len(b.m.ID)
+	}
+	if size+2*hireSize > p.w.ValueBytes {
+		return false
+	}
+	if j.Spec.OneZone {
+		return p.pickZone(j, bins, room, left)
+	}
+	sum := 0
+	for _, n := range room {
+		sum += n
+	}
+	return sum >= left
+}
+
+// pickZone puts the bins of a zone that holds the whole gang first.
+func (p *planner) pickZone(j *checkpoint.Job, bins []*bin, room map[unit.Zone]int, left int) bool {
+	for _, b := range bins {
+		if room[b.zone] >= left {
+			zone := b.zone
+			sort.SliceStable(bins, func(a, c int) bool { return bins[a].zone == zone && bins[c].zone != zone })
+			return true
+		}
+	}
+	return false
+}
+
+// wholeGang handles a gang that does not fit: what is coming may hold it, else
+// machines are rented for the whole of it.
+func (p *planner) wholeGang(j *checkpoint.Job, left int) int {
+	if len(j.Live) > 0 || left < j.Queue.Len() {
+		return 0
+	}
+	p.plan.Short += left
+	room := 0
+	for _, b := range append(append([]*bin(nil), p.bins...), p.come...) {
+		if j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+			room += fitCount(b.free, j.Spec.Need())
+		}
+	}
+	return max(0, left-room)
+}
+
 // makeRoom finds the machine where room for one task of the job costs least
 // work, and stops what is in its way. Room that is already being made, or is
 // left there, is kept for the job.
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -26,7 +26,6 @@
 		}
 		count := p.fill(short[i:], offer, typ)
 		if count > 0 {
-			p.plan.HireFor = s.job.ID
 			p.plan.Record.Hires = []Hire{{Name: HireName(p.w.Epoch, p.w.No, 0), Offer: offer, Count: count}}
 			return
 		}
@@ -71,6 +70,9 @@
 				if !j.Spec.Allows(t.Name, z, spot) || p.zoneRoom(j, z) == 0 || p.w.Blocked(o) {
 					continue
 				}
+				if !p.worth(j, t, spot) {
+					continue
+				}
 				if cost := p.cost(j, t, z, spot); cost < bestCost {
 					best, bestType, bestCost = o, t, cost
 				}
@@ -135,3 +137,120 @@
 	}
 	return n
 }
+
+const (
+	// urgentBelow, in seconds: work that can wait no longer than this beyond
+	// what a machine takes to come up is helped at any price.
+	urgentBelow = 20
+	// cheap: an offer is cheap if a task costs at most so many times what it
+	// costs on the cheapest kind.
+	cheap = 1.5
+	// unhurried is the patience, in seconds, of work that nothing is expected of.
+	unhurried = 60
+	// runs: how much longer than its estimate work is expected to run.
+	runs = 1.3
+)
+
+// patience tells how many seconds the job can still wait for its tasks to
+// start and meet what is expected of it.
+func (p *planner) patience(j *checkpoint.Job) float64 {
+	if j.Spec.Service || j.Spec.Priority >= checkpoint.High {
+		return 0
+	}
+	waited := float64(p.w.WallMs-j.Accepted) / 1000
+	e := p.w.Expect[j.Spec.Class]
+	left := math.Inf(1)
+	if e.Start > 0 {
+		left = min(left, e.Start.Seconds()-waited)
+	}
+	if e.Finish > 0 {
+		left = min(left, e.Finish.Seconds()-waited-runs*j.Spec.EstimateS)
+	}
+	if j.Spec.DeadlineS > 0 {
+		left = min(left, j.Spec.DeadlineS-waited-runs*j.Spec.EstimateS)
+	}
+	if math.IsInf(left, 1) {
+		left = unhurried - waited
+	}
+	return max(0, left)
+}
+
+// worth tells whether a machine of the kind may be rented for the job: work
+// that can wait is only given cheap ones.
+func (p *planner) worth(j *checkpoint.Job, t *fleet.Type, spot bool) bool {
+	start := t.Boot.Seconds()
+	if t.FetchGBps > 0 {
+		start += j.Spec.ImageGB / t.FetchGBps
+	}
+	if p.patience(j)-start < urgentBelow {
+		return true
+	}
+	return taskPrice(j, t, spot) <= cheap*p.cheapest(j)
+}
+
+func taskPrice(j *checkpoint.Job, t *fleet.Type, spot bool) float64 {
+	per := fitCount(t.Capacity, j.Spec.Need())
+	if per == 0 {
+		return math.Inf(1)
+	}
+	if spot {
+		return t.SpotPrice / float64(per)
+	}
+	return t.Price / float64(per)
+}
+
+func (p *planner) cheapest(j *checkpoint.Job) float64 {
+	best := math.Inf(1)
+	for _, t := range p.w.Types {
+		for _, z := range p.zonesOf(t) {
+			for _, spot := range []bool{true, false} {
+				if j.Spec.Allows(t.Name, z, spot) {
+					best = min(best, taskPrice(j, t, spot))
+				}
+			}
+		}
+	}
+	return best
+}
+
+// keepSpare sees to the room kept free for classes that must start faster than
+// a machine comes up: it notes the idle machines that hold it, and rents one
+// when there is too little.
+func (p *planner) keepSpare() {
+	p.plan.Keep = map[unit.MachineID]bool{}
+	for _, s := range p.w.Spares {
+		missing := p.w.Policy.SpareTasks
+		for _, b := range p.bins {
+			if missing <= 0 {
+				break
+			}
+			if !s.Allows(b.typ.Name, b.zone, b.spot) {
+				continue
+			}
+			if n := fitCount(b.free.Plus(p.below(s, b)), s.Need()); n > 0 {
+				missing -= n
+				p.plan.Keep[b.m.ID] = true
+			}
+		}
+		for _, b := range p.come {
+			if s.Allows(b.typ.Name, b.zone, b.spot) {
+				missing -= fitCount(b.free, s.Need())
+			}
+		}
+		if missing > 0 && p.w.MayHire && len(p.plan.Record.Hires) == 0 {
+			p.rent([]shortage{{job: &checkpoint.Job{Spec: *s, Accepted: p.w.WallMs}, n: missing}})
+		}
+	}
+}
+
+// below is what work of lower priority holds on the bin's machine, which a
+// task of the spec could have at once.
+func (p *planner) below(s *checkpoint.Spec, b *bin) checkpoint.Resources {
+	var sum checkpoint.Resources
+	for _, v := range b.m.Live() {
+		if v.Job.Spec.Priority < s.Priority && v.Job.Spec.CheckpointS == 0 {
+			sum = sum.Plus(v.Job.Spec.Need())
+		}
+	}
+	return sum
+}
