--- /dev/null
+++ b/internal/controller/sim_test.go
@@ -0,0 +1,713 @@
+package controller
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/policy"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/standin"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// sim plays nodes against the stand-ins in simulated time: messages take time,
+// get lost, come twice or late; nodes crash and start again. It checks the
+// rules at every change on a machine.
+type sim struct {
+	t     *testing.T
+	rng   *rand.Rand
+	now   unit.Instant
+	queue events
+	seq   int
+	set   *config.Settings
+	pol   *policy.Policy
+	state *standin.State
+	cloud *standin.Cloud
+	nodes []*simNode
+	jobs  map[unit.JobID]*simJob
+	on    map[unit.TaskID]unit.MachineID
+	zones map[unit.TaskID]unit.Zone
+	// loss is the chance that an answer is lost; dup that a direct command
+	// is executed once more, much later.
+	loss, dup float64
+	cut       map[int]bool // nodes that the workers can't reach
+	starts    int
+}
+
+type simNode struct {
+	index int
+	name  string
+	core  *Core
+	life  int
+	alive bool
+	view  unit.Epoch
+}
+
+type simJob struct {
+	spec      checkpoint.Spec
+	run       time.Duration
+	submitted bool
+	cancelled unit.Instant // when its user was told
+	told      intake.Standing
+}
+
+type event struct {
+	at  unit.Instant
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(a, b int) bool {
+	return e[a].at < e[b].at || e[a].at == e[b].at && e[a].seq < e[b].seq
+}
+func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { o := *e; x := o[len(o)-1]; *e = o[:len(o)-1]; return x }
+
+type simClock struct{ s *sim }
+
+func (c simClock) Now() unit.Instant { return c.s.now }
+func (c simClock) Wall() time.Time   { return time.UnixMilli(1_700_000_000_000 + int64(c.s.now)/1e6) }
+
+func simSettings() *config.Settings {
+	return &config.Settings{Label: "n0", Params: config.Params{Nodes: 3, Zones: []unit.Zone{"a", "b"},
+		Teams:      []config.Team{{Name: "red", CPUs: 16, CPUsMax: 40}, {Name: "blue", CPUs: 16, CPUsMax: 24}},
+		Objectives: []config.Objective{{Kind: "wait", Class: "svc", WithinS: 5}},
+		Workers:    config.Workers{ReportS: 3, LeaseS: 27, CancelS: 50},
+		State:      config.State{RPS: 80, WriteRPS: 25, ValueKB: 8, TxnOps: 8},
+		Cloud:      config.Cloud{RPS: 5, ListLagS: 1}}}
+}
+
+func newSim(t *testing.T, seed uint64) *sim {
+	pol, err := policy.Default()
+	if err != nil {
+		t.Fatal(err)
+	}
+	types := []*fleet.Type{
+		{Name: "small", Capacity: checkpoint.Resources{CPUs: 4, MemoryGB: 16}, Price: 0.2, SpotPrice: 0.05, Boot: 8 * time.Second, Zones: []unit.Zone{"a", "b"}},
+		{Name: "large", Capacity: checkpoint.Resources{CPUs: 16, MemoryGB: 64}, Price: 0.8, SpotPrice: 0.2, Boot: 5 * time.Second, Zones: []unit.Zone{"a", "b"}}}
+	capacity := map[rental.Offer]int{}
+	for _, ty := range types {
+		for _, z := range ty.Zones {
+			capacity[rental.Offer{Type: ty.Name, Zone: z}] = 3
+			capacity[rental.Offer{Type: ty.Name, Zone: z, Spot: true}] = 2
+		}
+	}
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: unit.Instant(time.Hour), set: simSettings(), pol: pol,
+		state: standin.NewState(), cloud: standin.NewCloud(types, capacity), jobs: map[unit.JobID]*simJob{},
+		on: map[unit.TaskID]unit.MachineID{}, zones: map[unit.TaskID]unit.Zone{}, cut: map[int]bool{}}
+	s.cloud.Boot = func() time.Duration { return time.Duration(2+s.rng.IntN(10)) * time.Second }
+	for i := range 3 {
+		s.nodes = append(s.nodes, &simNode{index: i, name: fmt.Sprintf("n%d", i)})
+		s.start(s.nodes[i])
+	}
+	s.every(100*time.Millisecond, s.world)
+	return s
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.now.Add(d), s.seq, do})
+}
+
+func (s *sim) every(d time.Duration, do func()) {
+	s.after(d, func() { do(); s.every(d, do) })
+}
+
+func (s *sim) latency() time.Duration { return time.Duration(1+s.rng.IntN(15)) * time.Millisecond }
+func (s *sim) lost() bool             { return s.rng.Float64() < s.loss }
+
+// run plays until d has passed.
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for s.queue.Len() > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+func (s *sim) start(n *simNode) {
+	set := *s.set
+	set.Label = n.name
+	n.life++
+	n.alive = true
+	life := n.life
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	n.core = NewCore(&set, s.pol, simClock{s}, statestore.NewBudget(3, 80, 25),
+		rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64())), log, NewMetrics())
+	var tick func()
+	tick = func() {
+		if n.alive && n.life == life {
+			s.step(n, Tick{})
+			s.after(50*time.Millisecond, tick)
+		}
+	}
+	tick()
+}
+
+func (s *sim) crash(n *simNode, back time.Duration) {
+	n.alive = false
+	n.life++
+	s.after(back, func() {
+		if !n.alive {
+			s.start(n)
+		}
+	})
+}
+
+func (s *sim) step(n *simNode, in Input) {
+	for _, e := range n.core.Step(s.now, in) {
+		s.carryOut(n, e)
+	}
+	n.view = n.core.lead.Epoch()
+}
+
+// reply posts the answer to an effect, unless the process has ended.
+func (s *sim) reply(n *simNode, life int, in Input) {
+	s.after(s.latency(), func() {
+		if n.alive && n.life == life {
+			s.step(n, in)
+		}
+	})
+}
+
+func (s *sim) carryOut(n *simNode, e Effect) {
+	life := n.life
+	switch e := e.(type) {
+	case ReplyReport:
+		e.Ticket.(func(ReplyReport))(e)
+	case ReplyAsk:
+		e.Ticket.(func(ReplyAsk))(e)
+	case DoLead:
+		s.after(s.latency(), func() { s.doLead(n, life, e.Effect) })
+	case LoadAll:
+		s.after(s.latency(), func() {
+			jobs, _, err := s.state.List(checkpoint.KeyPrefix)
+			rounds, _, err2 := s.state.List(round0)
+			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && err2 == nil, Jobs: jobs, Rounds: rounds})
+		})
+	case ReadJob:
+		s.after(s.latency(), func() {
+			item, err := s.state.Get(checkpoint.Key(e.Job))
+			s.reply(n, life, JobRead{Job: e.Job, OK: err == nil, Item: item})
+		})
+	case Commit:
+		s.after(s.latency(), func() { s.commit(n, life, e, false) })
+	case Do:
+		s.do(n, life, e)
+	default:
+		s.callCloud(n, life, e)
+	}
+}
+
+const round0 = "round/"
+
+// sent tells whether the answer to a request comes; if not, the request is
+// executed at once, later, or never.
+func (s *sim) sent(do func()) bool {
+	if !s.lost() {
+		do()
+		return true
+	}
+	switch s.rng.IntN(3) {
+	case 0:
+		do()
+	case 1:
+		s.after(time.Duration(s.rng.IntN(20_000))*time.Millisecond, do)
+	}
+	return false
+}
+
+func (s *sim) doLead(n *simNode, life int, e leadership.Effect) {
+	sent := s.now
+	switch e := e.(type) {
+	case leadership.ReadKey:
+		h, stamp, err := s.holder()
+		s.reply(n, life, Lead{leadership.KeyRead{OK: err == nil, Holder: h, Stamp: stamp}})
+	case leadership.GrantLease:
+		tenure, err := s.state.Grant(s.now, e.Life)
+		s.reply(n, life, Lead{leadership.Granted{OK: err == nil, Tenure: tenure, Sent: sent}})
+	case leadership.Renew:
+		var err error
+		if !s.sent(func() { err = s.state.Extend(s.now, e.Tenure) }) {
+			err = statestore.ErrUncertain
+		}
+		s.reply(n, life, Lead{leadership.Renewed{Outcome: outcomeOf(err), Sent: sent}})
+	case leadership.Acquire:
+		v, err := s.tryCommit(holderTxn(e.Prev, e.Holder, e.Tenure))
+		s.reply(n, life, Lead{leadership.Acquired{Outcome: outcomeOf(err), Epoch: unit.Epoch(v)}})
+	case leadership.Reseal:
+		v, err := s.tryCommit(holderTxn(e.Prev, e.Holder, e.Tenure))
+		if err == nil {
+			s.reply(n, life, Lead{leadership.Resealed{Outcome: leadership.OK, Epoch: unit.Epoch(v)}})
+			return
+		}
+		s.after(150*time.Millisecond, func() { s.readBackSeal(n, life, e) })
+	case leadership.Release:
+		s.state.Revoke(e.Tenure)
+	}
+}
+
+func (s *sim) readBackSeal(n *simNode, life int, e leadership.Reseal) {
+	h, stamp, err := s.holder()
+	switch {
+	case err != nil:
+		s.after(150*time.Millisecond, func() { s.readBackSeal(n, life, e) })
+	case h != e.Holder:
+		s.reply(n, life, Lead{leadership.Deposed{}})
+	case stamp > e.Prev:
+		s.reply(n, life, Lead{leadership.Resealed{Outcome: leadership.OK, Epoch: stamp}})
+	default:
+		s.reply(n, life, Lead{leadership.Resealed{Outcome: leadership.Refused}})
+	}
+}
+
+func (s *sim) holder() (leadership.Holder, unit.Epoch, error) {
+	item, err := s.state.Get(leadership.Key)
+	var h leadership.Holder
+	if err == nil && item.Stamp != 0 {
+		err = msgpack.Unmarshal(item.Value, &h)
+	}
+	return h, unit.Epoch(item.Stamp), err
+}
+
+func (s *sim) tryCommit(t statestore.Txn) (unit.Version, error) {
+	var v unit.Version
+	var err error
+	if !s.sent(func() { v, err = s.state.Commit(t) }) {
+		return 0, statestore.ErrUncertain
+	}
+	return v, err
+}
+
+// commit does what Node.commit does: an unanswered transaction is sent again,
+// and a conflict after that is settled by reading back.
+func (s *sim) commit(n *simNode, life int, c Commit, unsure bool) {
+	if !n.alive || n.life != life {
+		return
+	}
+	again := func(unsure bool) { s.after(150*time.Millisecond, func() { s.commit(n, life, c, unsure) }) }
+	v, err := s.tryCommit(c.Txn)
+	done := Committed{Kind: c.Kind, Epoch: c.Epoch, Outcome: outcomeOf(err), Version: v}
+	var conflict *statestore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		done.Failed = conflict.Failed
+		for _, k := range conflict.Failed {
+			if k == leadership.Key {
+				done.Outcome = leadership.Gone
+			}
+		}
+		if done.Outcome != leadership.Gone && unsure {
+			item, err := s.state.Get(c.Txn.Writes[0].Set)
+			if err != nil {
+				again(true)
+				return
+			}
+			if item.Stamp > c.Txn.Guards[1].Stamp {
+				done.Outcome, done.Version, done.Failed = leadership.OK, item.Stamp, nil
+			}
+		}
+	case errors.Is(err, statestore.ErrUncertain) || err != nil && unsure:
+		again(true)
+		return
+	}
+	s.reply(n, life, done)
+}
+
+func (s *sim) do(n *simNode, life int, e Do) {
+	exec := func() *fleet.Report {
+		if h := s.cloud.Machines[e.Machine]; h != nil && h.Worker != nil && !h.Failed {
+			h.Worker.Advance(s.now)
+			return h.Worker.Do(s.now, e.Epoch, e.Shift, e.Orders)
+		}
+		return nil
+	}
+	s.after(s.latency(), func() {
+		var r *fleet.Report
+		if !s.sent(func() { r = exec() }) {
+			r = nil
+			s.after(3*time.Second, func() { s.reply(n, life, DoDone{Machine: e.Machine, Epoch: e.Epoch}) })
+			return
+		}
+		s.reply(n, life, DoDone{Machine: e.Machine, Epoch: e.Epoch, Report: r})
+		if s.rng.Float64() < s.dup {
+			s.after(time.Duration(1+s.rng.IntN(60))*time.Second, func() { exec() })
+		}
+	})
+}
+
+func (s *sim) callCloud(n *simNode, life int, e Effect) {
+	s.after(50*time.Millisecond, func() {
+		switch e := e.(type) {
+		case CallHire:
+			done := HireDone{Name: e.Name, Offer: e.Offer, Sent: s.now, Verdict: rental.Uncertain}
+			var ids []unit.MachineID
+			var err error
+			if s.sent(func() { ids, err = s.cloud.Hire(s.now, e.Name, e.Offer, e.Count) }) {
+				done.Machines = ids
+				done.Verdict = map[bool]rental.Verdict{true: rental.Granted, false: rental.NoneLeft}[err == nil]
+				if errors.Is(err, rental.ErrBusy) {
+					done.Verdict = rental.Deferred
+				}
+			}
+			s.reply(n, life, done)
+		case CallRelease:
+			var err error
+			ok := s.sent(func() {
+				if err = s.cloud.Release(e.Machines); err == nil {
+					for _, id := range e.Machines {
+						s.offMachine(id)
+					}
+				}
+			})
+			s.reply(n, life, ReleaseDone{Machines: e.Machines, OK: ok && err == nil})
+		case CallList:
+			list, err := s.cloud.List(s.now)
+			s.reply(n, life, ListDone{OK: err == nil, Sent: s.now, Machines: list})
+		case CallFlavors:
+			s.reply(n, life, FlavorsDone{Types: s.cloud.Types})
+		}
+	})
+}
+
+func (s *sim) offMachine(id unit.MachineID) {
+	for task, m := range s.on {
+		if m == id {
+			delete(s.on, task)
+		}
+	}
+}
+
+// take makes a machine vanish without notice.
+func (s *sim) take(id unit.MachineID) {
+	s.offMachine(id)
+	s.cloud.Take(id)
+}
+
+// world lets time pass outside the nodes.
+func (s *sim) world() {
+	s.state.Expire(s.now)
+	lease := s.set.Params.Workers.Lease()
+	for _, w := range s.cloud.Up(s.now, func(id unit.MachineID, h *standin.Host) *standin.Worker {
+		var typ *fleet.Type
+		for _, ty := range s.cloud.Types {
+			if ty.Name == h.Offer.Type {
+				typ = ty
+			}
+		}
+		return standin.NewWorker(id, typ, h.Offer.Zone, h.Offer.Spot, lease, s.now)
+	}) {
+		w.Fetch = time.Second
+		w.Seen = s.seen
+		w.Spec = func(id unit.JobID) (*checkpoint.Spec, time.Duration, bool) {
+			j := s.jobs[id]
+			if j == nil || !j.submitted {
+				return nil, 0, false
+			}
+			return &j.spec, j.run, true
+		}
+		s.reportLoop(w, s.rng.IntN(len(s.nodes)))
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.cloud.Machines)) {
+		h := s.cloud.Machines[id]
+		if h.Worker != nil && !h.Failed {
+			h.Worker.Advance(s.now)
+		}
+	}
+	for id, j := range s.jobs {
+		if j.cancelled == 0 || s.now.Sub(j.cancelled) < s.set.Params.Workers.Cancel() {
+			continue
+		}
+		for task, m := range s.on {
+			if task.Job == id {
+				s.t.Fatalf("ran_cancelled: %v on %s", task, m)
+			}
+		}
+	}
+}
+
+// reportLoop sends a worker's reports to a node, and goes on to another when
+// it is refused.
+func (s *sim) reportLoop(w *standin.Worker, node int) {
+	h := s.cloud.Machines[w.ID]
+	if h == nil || h.Worker != w || h.Failed {
+		return
+	}
+	w.Advance(s.now)
+	n, sent, shift, r := s.nodes[node], s.now, w.Shift, w.Report()
+	next := time.Duration(2250+s.rng.IntN(1500)) * time.Millisecond
+	answered := false
+	follow := func(node int, d time.Duration) {
+		if !answered {
+			answered = true
+			s.after(d, func() { s.reportLoop(w, node) })
+		}
+	}
+	s.after(4*time.Second, func() { follow((node+1)%len(s.nodes), time.Second) })
+	if !n.alive || s.cut[node] || s.lost() {
+		return
+	}
+	s.after(s.latency(), func() {
+		if !n.alive {
+			return
+		}
+		s.step(n, Reported{Report: r, Ticket: func(a ReplyReport) {
+			s.after(s.latency(), func() {
+				if s.cut[node] || answered {
+					return
+				}
+				switch {
+				case a.Code == 200:
+					w.Advance(s.now)
+					before := w.Seal
+					if w.Answered(s.now, sent, shift, a.Epoch, a.Orders) && w.Seal > before {
+						next = 500 * time.Millisecond
+					}
+					follow(node, next)
+				case a.Code == 421 && a.Leader != "" && a.Leader != n.name:
+					follow(int(a.Leader[1]-'0'), 200*time.Millisecond)
+				default:
+					follow((node+1)%len(s.nodes), time.Second)
+				}
+			})
+		}})
+	})
+}
+
+// seen checks the rules as a task comes to be on a machine.
+func (s *sim) seen(_ unit.Instant, w *standin.Worker, id unit.TaskID, on bool) {
+	if !on {
+		if s.on[id] == w.ID {
+			delete(s.on, id)
+		}
+		return
+	}
+	s.starts++
+	j := s.jobs[id.Job]
+	if m, twice := s.on[id]; twice && m != w.ID {
+		s.t.Fatalf("ran_twice: %v on %s and %s", id, m, w.ID)
+	}
+	if j.cancelled != 0 && s.now.Sub(j.cancelled) > s.set.Params.Workers.Cancel() {
+		s.t.Fatalf("ran_cancelled: %v starts", id)
+	}
+	if !j.spec.Allows(w.Type.Name, w.Zone, w.Spot) {
+		s.t.Fatalf("wrong_place: %v on %s", id, w.ID)
+	}
+	s.on[id], s.zones[id] = w.ID, w.Zone
+	used, here := map[unit.Team]float64{}, 0
+	for task := range s.on {
+		o := s.jobs[task.Job]
+		used[o.spec.Team] += o.spec.CPUs
+		if task.Job != id.Job {
+			continue
+		}
+		if s.zones[task] == w.Zone {
+			here++
+		} else if j.spec.OneZone {
+			s.t.Fatalf("wrong_place: %v is not with the others", id)
+		}
+	}
+	if j.spec.Spread && here > j.spec.ZoneCap() {
+		s.t.Fatalf("wrong_place: %d of %v in %s", here, id.Job, w.Zone)
+	}
+	for _, team := range s.set.Params.Teams {
+		if used[team.Name] > team.CPUsMax {
+			s.t.Fatalf("quota: %s uses %v", team.Name, used[team.Name])
+		}
+	}
+}
+
+// submit stores a job as any node does, and tells the nodes.
+func (s *sim) submit(n int, spec checkpoint.Spec, run time.Duration) unit.JobID {
+	id := unit.JobID(fmt.Sprintf("wk-%06d", n))
+	j := &simJob{spec: spec, run: run}
+	s.jobs[id] = j
+	var try func()
+	try = func() {
+		key := checkpoint.Key(id)
+		_, err := s.state.Commit(statestore.Txn{Guards: []statestore.Guard{{Key: key}},
+			Writes: []statestore.Write{{Set: key, Value: checkpoint.NewRecord(spec, simClock{s}.Wall().UnixMilli())}}})
+		if err != nil {
+			s.after(time.Second, try)
+			return
+		}
+		j.submitted = true
+	}
+	try()
+	s.every(2*time.Second, func() {
+		for _, node := range s.nodes {
+			if node.alive && j.submitted && !j.over() {
+				s.step(node, Noticed{Job: id})
+				s.poll(node, id, j)
+			}
+		}
+	})
+	return id
+}
+
+func (j *simJob) over() bool { return j.told == intake.Done || j.told == intake.Cancelled }
+
+func (s *sim) poll(n *simNode, id unit.JobID, j *simJob) {
+	s.step(n, Asked{Job: id, Ticket: func(a ReplyAsk) {
+		if a.Outcome == intake.Known && s.now.Before(a.Until) {
+			s.hear(id, j, a.Status)
+		}
+	}})
+}
+
+// hear checks what a user is told against what was said before.
+func (s *sim) hear(id unit.JobID, j *simJob, st intake.Status) {
+	if j.over() && st.Standing != j.told {
+		s.t.Fatalf("went_back: %s was %s and is %s", id, j.told, st.Standing)
+	}
+	if st.Standing == intake.Done && st.Done != j.spec.Tasks {
+		s.t.Fatalf("not_done: %s has %d of %d", id, st.Done, j.spec.Tasks)
+	}
+	if st.Standing == intake.Cancelled && j.cancelled == 0 {
+		j.cancelled = s.now
+	}
+	j.told = st.Standing
+}
+
+// withdraw asks until it is told.
+func (s *sim) withdraw(id unit.JobID) {
+	j := s.jobs[id]
+	if j.over() {
+		return
+	}
+	for _, n := range s.nodes {
+		if n.alive {
+			s.step(n, Asked{Job: id, Withdraw: true, Ticket: func(a ReplyAsk) {
+				if a.Outcome == intake.Known && s.now.Before(a.Until) {
+					s.hear(id, j, a.Status)
+				}
+			}})
+		}
+	}
+	s.after(2*time.Second, func() { s.withdraw(id) })
+}
+
+func (s *sim) epochs() unit.Epoch {
+	_, e, _ := s.holder()
+	return e
+}
+
+func (s *sim) leader() *simNode {
+	for _, n := range s.nodes {
+		if n.alive && n.core.lead.Entitled(s.now) {
+			return n
+		}
+	}
+	return nil
+}
+
+var (
+	batch = checkpoint.Spec{Class: "arr", Team: "red", Priority: checkpoint.Standard, Tasks: 6, CPUs: 2, MemoryGB: 4,
+		Image: "img", ImageGB: 1, EstimateS: 10, Spot: true}
+	spread = checkpoint.Spec{Class: "svc", Team: "blue", Priority: checkpoint.Prod, Service: true, Tasks: 3, CPUs: 2,
+		MemoryGB: 2, Image: "svc", ImageGB: 1, Spread: true}
+	together = checkpoint.Spec{Class: "arr", Team: "blue", Priority: checkpoint.BestEffort, Tasks: 4, CPUs: 2, MemoryGB: 4,
+		Image: "img2", ImageGB: 1, EstimateS: 10, OneZone: true, Spot: true}
+)
+
+func (s *sim) load() {
+	n := 0
+	for range 6 {
+		s.submit(n, batch, 12*time.Second)
+		s.submit(n+1, spread, 0)
+		s.submit(n+2, together, 8*time.Second)
+		n += 3
+		s.run(8 * time.Second)
+	}
+}
+
+// finish lets all faults end and checks that every job comes to its end.
+func (s *sim) finish() {
+	s.loss, s.dup, s.state.Down, s.cloud.Down = 0, 0, false, false
+	s.cut = map[int]bool{}
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		if s.jobs[id].spec.Service {
+			s.withdraw(id)
+		}
+	}
+	s.run(200 * time.Second)
+	for id, j := range s.jobs {
+		if !j.over() {
+			s.t.Errorf("%s is still %q", id, j.told)
+		}
+	}
+	if s.starts == 0 {
+		s.t.Error("nothing_ran")
+	}
+	s.t.Logf("%d starts, %d machines left, %d changes written, epoch %d", s.starts, len(s.cloud.Machines), s.state.Writes, s.epochs())
+}
+
+func TestQuietDay(t *testing.T) {
+	s := newSim(t, 1)
+	s.load()
+	s.finish()
+}
+
+// TestRoughDays plays days with lost and repeated messages, crashes of nodes,
+// outages and machines that vanish, each with other luck.
+func TestRoughDays(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, 100+seed)
+			s.loss, s.dup = 0.04, 0.1
+			s.every(time.Duration(7+s.rng.IntN(20))*time.Second, func() {
+				n := s.nodes[s.rng.IntN(3)]
+				if s.loss > 0 && n.alive {
+					s.crash(n, time.Duration(100+s.rng.IntN(8000))*time.Millisecond)
+				}
+			})
+			s.after(40*time.Second, func() {
+				s.state.Down = true
+				s.after(20*time.Second, func() { s.state.Down = false })
+			})
+			s.every(23*time.Second, func() {
+				if l := s.leader(); l != nil && s.loss > 0 {
+					s.cut[l.index] = true
+					s.after(12*time.Second, func() { delete(s.cut, l.index) })
+				}
+			})
+			s.every(17*time.Second, func() {
+				for _, id := range slices.Sorted(maps.Keys(s.cloud.Machines)) {
+					h := s.cloud.Machines[id]
+					if s.loss > 0 && h.Worker != nil && s.rng.IntN(8) == 0 {
+						s.take(id)
+						break
+					}
+				}
+			})
+			s.load()
+			s.after(5*time.Second, func() { s.withdraw("wk-000003") })
+			s.after(9*time.Second, func() { s.withdraw("wk-000004") })
+			s.run(120 * time.Second)
+			s.finish()
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,180 @@
+package standin
+
+import (
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/unit"
+)
+
+// Task is a task on a worker.
+type Task struct {
+	Attempt unit.Attempt
+	State   fleet.State
+	Cause   fleet.Cause
+	Ready   unit.Instant // its image is there
+	Ends    unit.Instant // it completes; 0: never
+}
+
+// Worker is a stand-in for a worker.
+type Worker struct {
+	ID       unit.MachineID
+	Type     *fleet.Type
+	Zone     unit.Zone
+	Spot     bool
+	Lease    time.Duration
+	Shift    unit.Shift
+	Tally    unit.Tally
+	Seal     unit.Epoch
+	Tasks    map[unit.TaskID]map[unit.Attempt]*Task
+	lastSent unit.Instant // when the last answered report was sent
+	done     map[unit.TaskID]bool
+	// Spec tells what a job is; ok is false for one not submitted.
+	Spec func(unit.JobID) (spec *checkpoint.Spec, run time.Duration, ok bool)
+	// Fetch is how long an image takes.
+	Fetch time.Duration
+	// Seen is told of each task that comes to be on the machine, or leaves it.
+	Seen func(now unit.Instant, w *Worker, id unit.TaskID, on bool)
+}
+
+// NewWorker returns a worker that has just come up.
+func NewWorker(id unit.MachineID, t *fleet.Type, zone unit.Zone, spot bool, lease time.Duration, now unit.Instant) *Worker {
+	return &Worker{ID: id, Type: t, Zone: zone, Spot: spot, Lease: lease, Shift: 1, lastSent: now,
+		Tasks: map[unit.TaskID]map[unit.Attempt]*Task{}, done: map[unit.TaskID]bool{}}
+}
+
+// States of tasks, as a worker writes them.
+const (
+	fetching fleet.State = "fetching"
+	running  fleet.State = "running"
+	exited   fleet.State = "exited"
+)
+
+// Advance lets time pass on the machine.
+func (w *Worker) Advance(now unit.Instant) {
+	if now.Sub(w.lastSent) > w.Lease {
+		w.Clear(now)
+		w.Shift++
+		w.lastSent = now
+	}
+	for id, attempts := range w.Tasks {
+		for _, t := range attempts {
+			if t.State == fetching && !now.Before(t.Ready) {
+				t.State = running
+				w.Seen(now, w, id, true)
+			}
+			if t.State == running && (w.done[id] || t.Ends != 0 && !now.Before(t.Ends)) {
+				w.done[id] = true
+				w.exit(now, id, t, fleet.CauseDone)
+			}
+		}
+	}
+}
+
+// Clear kills and forgets all tasks.
+func (w *Worker) Clear(now unit.Instant) {
+	for id, attempts := range w.Tasks {
+		for _, t := range attempts {
+			if t.State == running {
+				w.Seen(now, w, id, false)
+			}
+		}
+	}
+	w.Tasks = map[unit.TaskID]map[unit.Attempt]*Task{}
+}
+
+func (w *Worker) exit(now unit.Instant, id unit.TaskID, t *Task, cause fleet.Cause) {
+	if t.State == running {
+		w.Seen(now, w, id, false)
+	}
+	t.State, t.Cause = exited, cause
+}
+
+// Report makes the next report.
+func (w *Worker) Report() *fleet.Report {
+	w.Tally++
+	r := &fleet.Report{Machine: w.ID, Addr: "127.0.0.1:1", Type: w.Type.Name, Zone: w.Zone, Spot: w.Spot,
+		Shift: w.Shift, Tally: w.Tally, Seal: w.Seal}
+	for id, attempts := range w.Tasks {
+		for a, t := range attempts {
+			r.Entries = append(r.Entries, fleet.Entry{Task: id, Attempt: a, State: t.State, Cause: t.Cause})
+		}
+	}
+	return r
+}
+
+// Answered takes in the answer to a report that was sent at sent in the shift.
+func (w *Worker) Answered(now, sent unit.Instant, shift unit.Shift, seal unit.Epoch, orders []fleet.Order) bool {
+	if shift != w.Shift || seal < w.Seal {
+		return false
+	}
+	w.Seal = seal
+	w.lastSent = max(w.lastSent, sent)
+	w.execute(now, orders)
+	return true
+}
+
+// Do takes a direct command, and returns the report that answers it.
+func (w *Worker) Do(now unit.Instant, seal unit.Epoch, shift unit.Shift, orders []fleet.Order) *fleet.Report {
+	if seal >= w.Seal && shift == w.Shift {
+		w.Seal = seal
+		w.execute(now, orders)
+	}
+	return w.Report()
+}
+
+func (w *Worker) execute(now unit.Instant, orders []fleet.Order) {
+	for _, o := range orders {
+		t := w.Tasks[o.Task][o.Attempt]
+		switch {
+		case o.Verb == fleet.Launch && t == nil:
+			w.launch(now, o)
+		case o.Verb == fleet.Halt && t != nil && t.State != exited:
+			w.exit(now, o.Task, t, fleet.CauseStopped)
+		case o.Verb == fleet.Reap && t != nil && t.State == exited:
+			delete(w.Tasks[o.Task], o.Attempt)
+		}
+	}
+}
+
+func (w *Worker) launch(now unit.Instant, o fleet.Order) {
+	t := &Task{Attempt: o.Attempt, State: fetching, Ready: now.Add(w.Fetch)}
+	spec, run, ok := w.Spec(o.Task.Job)
+	refuse := func(c fleet.Cause) { t.State, t.Cause = exited, c }
+	switch {
+	case !ok:
+		refuse(fleet.CauseUnknown)
+	case w.active(o.Task):
+		refuse(fleet.CauseBusy)
+	case !w.free().Fits(spec.Need()):
+		refuse(fleet.CauseNoRoom)
+	case run > 0:
+		t.Ends = t.Ready.Add(run)
+	}
+	if w.Tasks[o.Task] == nil {
+		w.Tasks[o.Task] = map[unit.Attempt]*Task{}
+	}
+	w.Tasks[o.Task][o.Attempt] = t
+}
+
+func (w *Worker) active(id unit.TaskID) bool {
+	for _, t := range w.Tasks[id] {
+		if t.State != exited {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *Worker) free() checkpoint.Resources {
+	free := w.Type.Capacity
+	for id, attempts := range w.Tasks {
+		for _, t := range attempts {
+			if spec, _, ok := w.Spec(id.Job); ok && t.State != exited {
+				free = free.Minus(spec.Need())
+			}
+		}
+	}
+	return free
+}
