Keep room and quota of stopped tasks until their exit is seen

A task told to stop was taken off its team's use and its machine's room within the plan, so other work could start in its place before it was gone.

--- a/internal/checkpoint/spec.go
+++ b/internal/checkpoint/spec.go
@@ -65,6 +65,11 @@
 	return Resources{r.CPUs - o.CPUs, r.GPUs - o.GPUs, r.MemoryGB - o.MemoryGB}
 }
 
+// Max returns the larger of each amount.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPUs, o.CPUs), max(r.GPUs, o.GPUs), max(r.MemoryGB, o.MemoryGB)}
+}
+
 // Times returns n of r.
 func (r Resources) Times(n int) Resources {
 	f := float64(n)
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -64,24 +64,37 @@
 	zone unit.Zone
 	spot bool
 	free checkpoint.Resources
+	// later is room that stops are making and nobody is promised yet. Nothing
+	// may start in it before their exits are seen.
+	later checkpoint.Resources
+}
+
+// promise keeps room for one task: what is being made first, then what is free.
+func (b *bin) promise(need checkpoint.Resources) {
+	rest := b.later.Minus(need)
+	b.later = rest.Max(checkpoint.Resources{})
+	b.free = b.free.Plus(rest.Minus(b.later)).Max(checkpoint.Resources{})
 }
 
 type planner struct {
-	w     *World
-	plan  *Plan
-	size  int
-	bins  []*bin
-	come  []*bin
-	usage map[unit.Team]checkpoint.Resources
-	queue []*checkpoint.Job
-	added map[*checkpoint.Job]map[unit.Zone]int // tasks given a place in this plan
-	taken map[*checkpoint.Placement]bool
-	full  bool
+	w    *World
+	plan *Plan
+	size int
+	bins []*bin
+	come []*bin
+	// usage counts all placements that may exist. What is told to stop stays
+	// in it until its exit is seen; giving counts it for the guarantees.
+	usage  map[unit.Team]checkpoint.Resources
+	giving map[unit.Team]checkpoint.Resources
+	queue  []*checkpoint.Job
+	added  map[*checkpoint.Job]map[unit.Zone]int // tasks given a place in this plan
+	taken  map[*checkpoint.Placement]bool
+	full   bool
 }
 
 // Make plans a round. It changes nothing it is given.
 func Make(w *World) *Plan {
-	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{},
+	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
@@ -307,6 +320,11 @@
 
 func (p *planner) take(j *checkpoint.Job, b *bin, n int) {
 	b.free = b.free.Minus(j.Spec.Need().Times(n))
+	p.count(j, b, n)
+}
+
+// count counts n tasks of the job as being on the bin's machine.
+func (p *planner) count(j *checkpoint.Job, b *bin, n int) {
 	p.usage[j.Spec.Team] = p.usage[j.Spec.Team].Plus(j.Spec.Need().Times(n))
 	if p.added[j] == nil {
 		p.added[j] = map[unit.Zone]int{}
@@ -424,13 +442,14 @@
 	}
 	for _, v := range bestStops {
 		p.taken[v] = true
-		best.free = best.free.Plus(v.Job.Spec.Need())
+		best.later = best.later.Plus(v.Job.Spec.Need())
 		if !v.Halting {
 			p.plan.Stops = append(p.plan.Stops, Stop{v})
-			p.usage[v.Job.Spec.Team] = p.usage[v.Job.Spec.Team].Minus(v.Job.Spec.Need())
+			p.giving[v.Job.Spec.Team] = p.giving[v.Job.Spec.Team].Plus(v.Job.Spec.Need())
 		}
 	}
-	p.take(j, best, 1)
+	best.promise(j.Spec.Need())
+	p.count(j, best, 1)
 	return true
 }
 
@@ -441,7 +460,7 @@
 	if !b.typ.Capacity.Fits(need) {
 		return nil, 0, false
 	}
-	free, cost := b.free, 0.0
+	free, cost := b.free.Plus(b.later), 0.0
 	var out []*checkpoint.Placement
 	for _, v := range p.candidates(j, b) {
 		if free.Fits(need) {
@@ -485,7 +504,8 @@
 	}
 	t := p.w.Teams[v.Job.Spec.Team]
 	// Stopping it must leave its team no less than its guarantee.
-	return p.usage[v.Job.Spec.Team].Minus(v.Job.Spec.Need()).CPUs >= t.CPUs-1e-6
+	left := p.usage[v.Job.Spec.Team].Minus(p.giving[v.Job.Spec.Team]).Minus(v.Job.Spec.Need())
+	return left.CPUs >= t.CPUs-1e-6
 }
 
 // lost is the work, in CPU seconds, that stopping a placement throws away.
--- /dev/null
+++ b/internal/round/plan_test.go
@@ -0,0 +1,300 @@
+package round
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/policy"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/unit"
+)
+
+// scene builds a world to plan in.
+type scene struct {
+	w    *World
+	jobs map[unit.JobID]*checkpoint.Job
+}
+
+const start = unit.Instant(time.Hour)
+
+func newScene(t interface{ Fatal(...any) }) *scene {
+	pol, err := policy.Default()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scene{jobs: map[unit.JobID]*checkpoint.Job{}}
+	types := []*fleet.Type{{Name: "m4", Capacity: checkpoint.Resources{CPUs: 4, MemoryGB: 16}, CacheGB: 20,
+		Price: 0.4, SpotPrice: 0.1, Boot: 20 * time.Second, Zones: []unit.Zone{"a", "b"}}}
+	f := fleet.New(fleet.Times{Report: 3 * time.Second, Lease: 27 * time.Second}, 10, start,
+		func(id unit.JobID) *checkpoint.Job { return s.jobs[id] })
+	f.SetTypes(types)
+	s.w = &World{Now: start.Add(10 * time.Second), No: 5, Epoch: 10, Fleet: f, Types: types, Zones: []unit.Zone{"a", "b"},
+		Teams:   map[unit.Team]config.Team{"red": {CPUs: 4, CPUsMax: 8}, "blue": {CPUs: 8, CPUsMax: 8}},
+		Blocked: func(rental.Offer) bool { return false }, MayHire: true, Policy: pol, ValueBytes: 8192,
+		SpecSize: func(*checkpoint.Job) int { return 300 }}
+	return s
+}
+
+func (s *scene) machine(id unit.MachineID, zone unit.Zone, spot bool) {
+	s.w.Fleet.Take(s.w.Now, &fleet.Report{Machine: id, Type: "m4", Zone: zone, Spot: spot, Shift: 1, Tally: 1}, true)
+}
+
+func (s *scene) job(id unit.JobID, spec checkpoint.Spec) *checkpoint.Job {
+	j := checkpoint.NewJob(id, checkpoint.NewRecord(spec, 0), 1, start)
+	s.jobs[id] = j
+	return j
+}
+
+func (s *scene) place(j *checkpoint.Job, i unit.TaskIndex, m unit.MachineID) *checkpoint.Placement {
+	p := &checkpoint.Placement{Job: j, Task: i, Machine: m, Shift: 1, Attempt: 1, Seal: 10, State: checkpoint.Running, Ran: start}
+	s.w.Fleet.Place(s.w.Now, p)
+	return p
+}
+
+func (s *scene) plan() *Plan {
+	s.w.Jobs, s.w.All = nil, nil
+	for _, j := range s.jobs {
+		if len(j.Queue) > 0 {
+			s.w.Jobs = append(s.w.Jobs, j)
+		}
+		if len(j.Live) > 0 {
+			s.w.All = append(s.w.All, j)
+		}
+	}
+	return Make(s.w)
+}
+
+func task(team unit.Team, prio checkpoint.Priority, n int, cpus float64) checkpoint.Spec {
+	return checkpoint.Spec{Team: team, Priority: prio, Tasks: n, CPUs: cpus, MemoryGB: 1, Image: "i", ImageGB: 1, EstimateS: 30}
+}
+
+// TestStopKeepsQuota guards against a quota once broken: a task that is told
+// to stop still counts for its team until its exit is seen, so another job of
+// the team must not take its place in the limit in the same round.
+func TestStopKeepsQuota(t *testing.T) {
+	s := newScene(t)
+	s.machine("host-1", "a", false)
+	s.machine("host-2", "b", false)
+	s.machine("host-3", "b", false)
+	low := s.job("wk-000001", task("red", checkpoint.BestEffort, 2, 4))
+	s.place(low, 0, "host-1")
+	s.place(low, 1, "host-2") // red is at its limit of 8
+	blue := s.job("wk-000002", task("blue", checkpoint.Prod, 1, 4))
+	blue.Spec.Zone = "a"
+	s.job("wk-000003", task("red", checkpoint.Standard, 1, 4))
+	plan := s.plan()
+	if len(plan.Stops) == 0 {
+		t.Fatal("no room was made for the prod job")
+	}
+	for _, st := range plan.Record.Starts {
+		if st.Job == "wk-000003" {
+			t.Errorf("red gets %+v beyond its limit", st)
+		}
+	}
+}
+
+func TestImageFirst(t *testing.T) {
+	s := newScene(t)
+	s.machine("host-1", "a", false)
+	s.machine("host-2", "a", false)
+	old := s.job("wk-000001", task("red", checkpoint.Standard, 1, 1))
+	p := s.place(old, 0, "host-2")
+	p.State = checkpoint.Fetching
+	s.w.Fleet.Take(s.w.Now, &fleet.Report{Machine: "host-2", Type: "m4", Zone: "a", Shift: 1, Tally: 2,
+		Entries: []fleet.Entry{{Task: p.ID(), Attempt: 1, State: "running"}}}, true)
+	s.job("wk-000002", task("blue", checkpoint.Standard, 1, 1))
+	plan := s.plan()
+	if len(plan.Record.Starts) != 1 || plan.Record.Starts[0].Machine != "host-2" {
+		t.Errorf("starts %+v, want one on the machine that holds the image", plan.Record.Starts)
+	}
+}
+
+func TestHigherPriorityFirst(t *testing.T) {
+	s := newScene(t)
+	s.machine("host-1", "a", false)
+	s.job("wk-000001", task("red", checkpoint.Standard, 1, 4))
+	s.job("wk-000002", task("blue", checkpoint.Prod, 1, 4))
+	plan := s.plan()
+	if len(plan.Record.Starts) != 1 || plan.Record.Starts[0].Job != "wk-000002" {
+		t.Errorf("starts %+v, want the prod job", plan.Record.Starts)
+	}
+}
+
+// TestNoPreemptionAmongEquals: work does not stop work of the same priority,
+// unless a team is to be given its guarantee.
+func TestNoPreemptionAmongEquals(t *testing.T) {
+	s := newScene(t)
+	s.machine("host-1", "a", false)
+	low := s.job("wk-000001", task("red", checkpoint.Standard, 1, 4)) // within red's guarantee
+	s.place(low, 0, "host-1")
+	s.job("wk-000002", task("blue", checkpoint.Standard, 1, 4))
+	if plan := s.plan(); len(plan.Stops) != 0 {
+		t.Errorf("stopped %v", plan.Stops[0].Placement.ID())
+	}
+	// Beyond its guarantee, red must give back what blue is guaranteed.
+	s.machine("host-2", "a", false)
+	more := s.job("wk-000003", task("red", checkpoint.Standard, 1, 4))
+	s.place(more, 0, "host-2")
+	if plan := s.plan(); len(plan.Stops) != 1 {
+		t.Errorf("%d stops, want 1 to give blue its guarantee", len(plan.Stops))
+	}
+}
+
+func TestGangWholeOrNotAtAll(t *testing.T) {
+	s := newScene(t)
+	s.machine("host-1", "a", false)
+	spec := task("blue", checkpoint.Standard, 2, 4)
+	spec.Gang = true
+	s.job("wk-000001", spec)
+	if plan := s.plan(); len(plan.Record.Starts) != 0 || len(plan.Record.Hires) != 1 {
+		t.Errorf("half a gang starts: %+v", plan.Record)
+	}
+	s.machine("host-2", "b", false)
+	if plan := s.plan(); len(plan.Record.Starts) != 2 {
+		t.Errorf("starts %+v, want both", plan.Record.Starts)
+	}
+}
+
+// TestPlanKeepsLimits draws worlds and checks that no plan goes beyond team
+// limits, room on machines, zones, or the size of a record.
+func TestPlanKeepsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newScene(t)
+		for i := range rapid.IntRange(0, 6).Draw(t, "machines") {
+			s.machine(unit.MachineID(fmt.Sprintf("host-%d", i)), rapid.SampledFrom([]unit.Zone{"a", "b"}).Draw(t, "zone"), rapid.Bool().Draw(t, "spot"))
+		}
+		for i := range rapid.IntRange(0, 8).Draw(t, "jobs") {
+			spec := task(rapid.SampledFrom([]unit.Team{"red", "blue"}).Draw(t, "team"),
+				checkpoint.Priority(rapid.IntRange(0, 3).Draw(t, "priority")),
+				rapid.SampledFrom([]int{1, 2, 5, 100_000}).Draw(t, "tasks"), rapid.SampledFrom([]float64{0.5, 1, 2, 4}).Draw(t, "cpus"))
+			spec.Spread, spec.OneZone, spec.Spot = rapid.Bool().Draw(t, "spread"), rapid.Bool().Draw(t, "one"), rapid.Bool().Draw(t, "spot")
+			j := s.job(unit.JobID(fmt.Sprintf("wk-%06d", i)), spec)
+			for _, m := range s.w.Fleet.Machines() {
+				if j.Queue.Len() > 0 && rapid.IntRange(0, 3).Draw(t, "occupied") == 0 && s.w.Fleet.Free(m).Fits(spec.Need()) &&
+					spec.Allows(m.Type, m.Zone, m.Spot) && j.ByZone[m.Zone] < spec.ZoneCap() && (!spec.OneZone || len(j.Live) == 0) &&
+					s.used(spec.Team)+spec.CPUs <= s.w.Teams[spec.Team].CPUsMax {
+					s.place(j, j.Queue[0].First, m.ID)
+				}
+			}
+		}
+		checkPlan(t, s, s.plan())
+	})
+}
+
+func (s *scene) used(team unit.Team) float64 {
+	sum := 0.0
+	for _, j := range s.jobs {
+		if j.Spec.Team == team {
+			sum += j.Spec.CPUs * float64(len(j.Live))
+		}
+	}
+	return sum
+}
+
+func checkPlan(t *rapid.T, s *scene, plan *Plan) {
+	if n := plan.Record.SizeOf(); n > s.w.ValueBytes {
+		t.Fatalf("record of %d bytes", n)
+	}
+	for _, st := range plan.Record.Starts {
+		j, m := s.jobs[st.Job], s.w.Fleet.Machine(st.Machine)
+		if !j.Spec.Allows(m.Type, m.Zone, m.Spot) {
+			t.Fatalf("%v may not run on %s", st, m.ID)
+		}
+		st.Tasks.Each(func(i unit.TaskIndex) bool {
+			if !j.Queue.Has(i) {
+				t.Fatalf("task %d of %s is not queued", i, j.ID)
+			}
+			s.place(j, i, m.ID)
+			return true
+		})
+	}
+	for _, m := range s.w.Fleet.Machines() {
+		if !s.w.Fleet.Free(m).Fits(checkpoint.Resources{}) {
+			t.Fatalf("%s is overfull: %+v", m.ID, s.w.Fleet.Free(m))
+		}
+	}
+	for name, team := range s.w.Teams {
+		if used := s.used(name); used > team.CPUsMax {
+			t.Fatalf("%s uses %v of %v", name, used, team.CPUsMax)
+		}
+	}
+	for _, j := range s.jobs {
+		zones := 0
+		for _, n := range j.ByZone {
+			if n > 0 {
+				zones++
+			}
+			if j.Spec.Spread && n > j.Spec.ZoneCap() {
+				t.Fatalf("%s has %d in one zone", j.ID, n)
+			}
+		}
+		if j.Spec.OneZone && zones > 1 {
+			t.Fatalf("%s is in %d zones", j.ID, zones)
+		}
+	}
+}
+
+// TestRingReusesSettledSlots draws rounds, folds and takeovers: a record is
+// never overwritten before what it decided is settled, and a successor finds
+// every round that is not.
+func TestRingReusesSettledSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slots = 4
+		ring := NewRing(slots)
+		stored := map[string]Stored{}
+		open := map[unit.RoundNo]unit.JobID{}
+		version := unit.Version(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				no, free := ring.Next()
+				if !free {
+					continue
+				}
+				if old, ok := stored[ring.Key(no)]; ok && open[old.Record.No] != "" {
+					t.Fatalf("round %d would overwrite round %d, which is open", no, old.Record.No)
+				}
+				job := unit.JobID(fmt.Sprintf("wk-%06d", rapid.IntRange(0, 2).Draw(t, "job")))
+				r := &Record{No: no, Low: min(ring.Low(), no), Starts: []Start{{Job: job}}}
+				version++
+				ring.Put(r, version)
+				stored[ring.Key(no)] = Stored{ring.Key(no), r, version}
+				open[no] = job
+			case 1:
+				job := unit.JobID(fmt.Sprintf("wk-%06d", rapid.IntRange(0, 2).Draw(t, "folded")))
+				no, _ := ring.Next()
+				ring.Folded(job, no-1)
+				for r, j := range open {
+					if j == job && r < no {
+						delete(open, r)
+					}
+				}
+			case 2:
+				var all []Stored
+				for _, s := range stored {
+					all = append(all, s)
+				}
+				next, _ := ring.Next()
+				again, found := Restore(slots, all)
+				if got, _ := again.Next(); got != next {
+					t.Fatalf("a successor goes on at round %d, not %d", got, next)
+				}
+				seen := map[unit.RoundNo]bool{}
+				for _, r := range found {
+					seen[r.No] = true
+				}
+				for r := range open {
+					if !seen[r] {
+						t.Fatalf("a successor does not find round %d", r)
+					}
+				}
+			}
+		}
+	})
+}
