Test the fleet, leadership and intake; give new shifts their full lease

A shift that became known by the refusal of a direct command was taken for expired, since no report of it had been answered: its tasks were started elsewhere while they ran.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -289,6 +289,10 @@
 	if r.Shift > m.Shift {
 		c.NewUp = true
 		f.endAll(now, m, &c)
+		// The lease of a new shift runs from its beginning, whether or not
+		// any report of it was answered: the shift may have become known by
+		// the refusal of a direct command.
+		m.LastAnswer = max(m.LastAnswer, now)
 	}
 	f.describe(now, m, r)
 	if r.Seal > f.epoch {
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,237 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/unit"
+)
+
+const (
+	t0    = unit.Instant(time.Hour)
+	epoch = unit.Epoch(10)
+)
+
+// rig is a fleet with one job and one machine that has just come up.
+type rig struct {
+	f   *Fleet
+	j   *checkpoint.Job
+	m   *Machine
+	now unit.Instant
+}
+
+func newRig(tasks int) *rig {
+	spec := checkpoint.Spec{Tasks: tasks, CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 2}
+	r := &rig{j: checkpoint.NewJob("wk-000001", checkpoint.NewRecord(spec, 0), 1, t0), now: t0}
+	r.f = New(Times{Report: 3 * time.Second, Lease: 27 * time.Second}, epoch, t0, func(id unit.JobID) *checkpoint.Job {
+		if id == r.j.ID {
+			return r.j
+		}
+		return nil
+	})
+	r.f.SetTypes([]*Type{{Name: "m", Capacity: checkpoint.Resources{CPUs: 4, MemoryGB: 8}, CacheGB: 3}})
+	r.report(1, 1, epoch)
+	r.m = r.f.Machine("host-1")
+	return r
+}
+
+func (r *rig) report(shift unit.Shift, tally unit.Tally, seal unit.Epoch, entries ...Entry) Changes {
+	return r.f.Take(r.now, &Report{Machine: "host-1", Addr: "10.0.0.1:1", Type: "m", Zone: "a", Shift: shift, Tally: tally, Seal: seal, Entries: entries}, true)
+}
+
+func (r *rig) place(i unit.TaskIndex, attempt unit.Attempt) *checkpoint.Placement {
+	p := &checkpoint.Placement{Job: r.j, Task: i, Machine: "host-1", Shift: r.m.Shift, Attempt: attempt, Launch: true}
+	r.f.Place(r.now, p)
+	return p
+}
+
+func entry(i unit.TaskIndex, attempt unit.Attempt, s State, c Cause) Entry {
+	return Entry{Task: unit.TaskID{Job: "wk-000001", Index: i}, Attempt: attempt, State: s, Cause: c}
+}
+
+func verbs(orders []Order) []string {
+	var out []string
+	for _, o := range orders {
+		out = append(out, fmt.Sprintf("%s %d/%d", o.Verb, o.Task.Index, o.Attempt))
+	}
+	return out
+}
+
+// TestAbsenceProvesNothingUnderTheSameSeal: a launch may be on its way, so a
+// report that lacks the task ends the placement only under a higher seal.
+func TestAbsenceProvesNothingUnderTheSameSeal(t *testing.T) {
+	r := newRig(1)
+	p := r.place(0, 5)
+	if got := verbs(r.f.Orders(r.now, r.m, true)); !cmp.Equal(got, []string{"launch 0/5"}) {
+		t.Fatalf("orders %v", got)
+	}
+	r.report(1, 2, epoch)
+	if p.State == checkpoint.Ended {
+		t.Fatal("ended by absence under the seal of its launch")
+	}
+	if got := verbs(r.f.Orders(r.now, r.m, true)); !cmp.Equal(got, []string{"launch 0/5"}) {
+		t.Fatalf("the launch is not repeated: %v", got)
+	}
+	r.f.SetEpoch(epoch + 5)
+	c := r.report(1, 3, epoch+5)
+	if p.State != checkpoint.Ended || len(c.Ended) != 1 || !r.j.Queue.Has(0) {
+		t.Error("absence under a higher seal did not end it")
+	}
+}
+
+// TestReapOnlyWhatNoLateLaunchCanRevive: an exit is reaped only once its
+// meaning is stored and the worker has seen a higher seal than its launch.
+func TestReapOnlyWhatNoLateLaunchCanRevive(t *testing.T) {
+	r := newRig(1)
+	r.place(0, 5)
+	r.f.Orders(r.now, r.m, true)
+	r.report(1, 2, epoch, entry(0, 5, stateExited, CauseStopped))
+	if got := verbs(r.f.Orders(r.now, r.m, true)); got != nil {
+		t.Fatalf("reaped before it is stored: %v", got)
+	}
+	r.j.Stored = r.j.Seq
+	if got := verbs(r.f.Orders(r.now, r.m, true)); got != nil {
+		t.Fatalf("reaped while a copy of its launch may come: %v", got)
+	}
+	r.f.SetEpoch(epoch + 1)
+	r.report(1, 3, epoch+1, entry(0, 5, stateExited, CauseStopped))
+	if got := verbs(r.f.Orders(r.now, r.m, true)); !cmp.Equal(got, []string{"reap 0/5"}) {
+		t.Fatalf("orders %v, want a reap", got)
+	}
+	r.report(1, 4, epoch+1)
+	if r.f.Tombstones() != 0 {
+		t.Error("the tombstone stays after the reap")
+	}
+}
+
+// TestTombstoneOutlivesNextAttempt: the next attempt on the same machine must
+// not push the tombstone of the last one out.
+func TestTombstoneOutlivesNextAttempt(t *testing.T) {
+	r := newRig(1)
+	r.place(0, 5)
+	r.f.Orders(r.now, r.m, true)
+	r.report(1, 2, epoch, entry(0, 5, stateExited, CauseStopped))
+	r.j.Stored = r.j.Seq
+	r.place(0, 6)
+	if got := verbs(r.f.Orders(r.now, r.m, true)); !cmp.Equal(got, []string{"launch 0/6"}) {
+		t.Errorf("orders %v, want only the launch of the new attempt", got)
+	}
+}
+
+func TestOldReportsAreStale(t *testing.T) {
+	r := newRig(2)
+	p := r.place(0, 5)
+	r.f.Orders(r.now, r.m, true)
+	r.report(1, 9, epoch, entry(0, 5, stateRunning, ""))
+	if c := r.report(1, 8, epoch, entry(0, 5, stateExited, CauseError)); !c.Stale || p.State != checkpoint.Running {
+		t.Error("an overtaken report was taken in")
+	}
+	if c := r.report(2, 1, epoch); len(c.Ended) != 1 || p.State != checkpoint.Ended {
+		t.Error("a later shift did not end the placement")
+	}
+	if c := r.report(1, 10, epoch, entry(0, 5, stateRunning, "")); !c.Stale {
+		t.Error("a report of the shift before was taken in")
+	}
+}
+
+// TestLeaseCountsFromTheLastAnswer: placements on a silent machine are over
+// only when the lease has surely run out, counted from the last answer, and
+// for a successor from the time it took over.
+func TestLeaseCountsFromTheLastAnswer(t *testing.T) {
+	r := newRig(1)
+	p := r.place(0, 5)
+	r.now = t0.Add(20 * time.Second)
+	r.report(1, 2, epoch, entry(0, 5, stateRunning, ""))
+	if c := r.f.Expire(r.now.Add(27 * time.Second)); len(c.Ended) != 0 {
+		t.Fatal("ended within the lease")
+	}
+	if c := r.f.Expire(r.now.Add(28 * time.Second)); len(c.Ended) != 1 || p.State != checkpoint.Ended {
+		t.Fatal("not ended after the lease")
+	}
+	if c := r.report(1, 3, epoch, entry(0, 5, stateRunning, "")); !c.Stale {
+		t.Error("a report of the expired shift was taken in")
+	}
+}
+
+// TestNewShiftHasAFullLease guards against a task once run twice: a shift that
+// becomes known by the refusal of a direct command has answered no report yet,
+// and its lease still runs in full.
+func TestNewShiftHasAFullLease(t *testing.T) {
+	r := newRig(1)
+	r.now = t0.Add(40 * time.Second)
+	r.f.Take(r.now, &Report{Machine: "host-1", Addr: "10.0.0.1:1", Type: "m", Zone: "a", Shift: 2, Tally: 1, Seal: epoch}, false)
+	p := r.place(0, 7)
+	if c := r.f.Expire(r.now.Add(5 * time.Second)); len(c.Ended) != 0 || p.State == checkpoint.Ended {
+		t.Error("the new shift was taken for expired")
+	}
+}
+
+// TestStrayRunsAreAdopted: what runs without a record counts as a placement,
+// so that it is not started elsewhere; what is done counts as done.
+func TestStrayRunsAreAdopted(t *testing.T) {
+	r := newRig(3)
+	r.report(1, 2, epoch, entry(0, 3, stateRunning, ""), entry(1, 3, stateExited, CauseDone))
+	if r.j.Live[0] == nil || r.j.Queue.Has(0) {
+		t.Error("a running task may be started again")
+	}
+	if !r.j.Done.Has(1) || r.j.Queue.Has(1) {
+		t.Error("a completed task may be started again")
+	}
+	r.report(1, 3, epoch, Entry{Task: unit.TaskID{Job: "wk-999999"}, Attempt: 1, State: stateRunning})
+	if got := verbs(r.f.Orders(r.now, r.m, true)); !cmp.Equal(got, []string{"halt 0/1"}) {
+		t.Errorf("orders %v, want a halt of the task of no job", got)
+	}
+	if r.f.Placeable(r.m) {
+		t.Error("a machine with a task of no job gets more")
+	}
+}
+
+// TestHaltBeforeTheLaunchLeaves: a withdrawn launch that never left is over at
+// once; one that may have left is halted until it surely is.
+func TestHaltBeforeTheLaunchLeaves(t *testing.T) {
+	r := newRig(2)
+	p, q := r.place(0, 5), r.place(1, 5)
+	r.f.Halt(r.now, p, 0)
+	if p.State != checkpoint.Ended {
+		t.Error("the launch that never left is still pending")
+	}
+	r.f.Orders(r.now, r.m, false)
+	r.f.Halt(r.now, q, 0)
+	if q.State == checkpoint.Ended {
+		t.Error("the launch that left is taken for over")
+	}
+	if got := verbs(r.f.Orders(r.now, r.m, false)); !cmp.Equal(got, []string{"halt 1/5"}) {
+		t.Errorf("orders %v", got)
+	}
+}
+
+func TestImagesAreForgottenAsTheCacheFills(t *testing.T) {
+	r := newRig(1)
+	r.f.touchImage(t0, r.m, &checkpoint.Spec{Image: "a", ImageGB: 2})
+	r.f.touchImage(t0+1, r.m, &checkpoint.Spec{Image: "b", ImageGB: 2})
+	if r.m.HasImage("a") || !r.m.HasImage("b") {
+		t.Error("the cache holds more than fits, or forgot the wrong image")
+	}
+}
+
+func FuzzDecodeReport(f *testing.F) {
+	seed, err := msgpack.Marshal(map[string]any{"shamba": "host-1", "addr": "10.0.0.1:9000", "frame": "m", "hall": "a",
+		"loaner": false, "shift": 1, "tally": 2, "seal": 3, "recallS": nil,
+		"entries": []any{map[string]any{"entry": "wk-000001/0", "try": 1, "standing": "running"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte{0x81, 0xa7, 'e', 'n', 't', 'r', 'i', 'e', 's', 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0x91, 0x91, 0x91})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if r, err := DecodeReport(data); err == nil && (r.Machine == "" || r.Shift == 0) {
+			t.Errorf("report without machine or shift: %+v", r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,221 @@
+package intake
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/unit"
+)
+
+func body(change map[string]any) []byte {
+	m := map[string]any{"id": "wk-000412", "ledgerClass": "train", "desk": "red", "shape": "batch", "rank": "high",
+		"entries": 16, "cpus": 2.0, "accelerators": 0.0, "memoryGb": 4.0, "bundle": "img-07", "imageGb": 6.2,
+		"frames": []string{"m"}, "hall": nil, "samePlace": true, "apart": false, "loaner": true,
+		"expectedS": 240.0, "folioS": 30.0, "bindS": 4.0, "dueS": 900.0}
+	for k, v := range change {
+		if v == "absent" {
+			delete(m, k)
+		} else {
+			m[k] = v
+		}
+	}
+	data, err := msgpack.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func TestDecodeSubmission(t *testing.T) {
+	for name, change := range map[string]map[string]any{
+		"plain": {}, "unknown field": {"novel": []any{1, map[string]any{"a": nil}}}, "whole amounts": {"cpus": 2, "dueS": nil},
+		"optional fields left out": {"frames": "absent", "hall": "absent", "dueS": "absent"}, "zero": {"folioS": 0, "bindS": 0.0},
+	} {
+		if _, err := DecodeSubmission(body(change)); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for name, change := range map[string]map[string]any{
+		"no id": {"id": "absent"}, "null id": {"id": nil}, "id of another form": {"id": "job-1"}, "id a number": {"id": 412},
+		"no tasks": {"entries": 0}, "negative tasks": {"entries": -1}, "too many tasks": {"entries": 100_001},
+		"tasks a decimal": {"entries": 2.5}, "tasks a text": {"entries": "16"}, "no cpus": {"cpus": 0.0},
+		"negative memory": {"memoryGb": -1.0}, "cpus a text": {"cpus": "2"}, "unknown rank": {"rank": "urgent"},
+		"rank misspelt": {"rank": "Prod"}, "unknown shape": {"shape": "array"}, "flag a number": {"samePlace": 1},
+		"flag missing": {"apart": "absent"}, "null flag": {"loaner": nil}, "no types": {"frames": []string{}},
+		"types a text": {"frames": "m"}, "types of numbers": {"frames": []any{1}}, "empty zone": {"hall": ""},
+		"binary text": {"bundle": []byte("img")}, "nested too deep": {"novel": nest(40)},
+	} {
+		if s, err := DecodeSubmission(body(change)); err == nil {
+			t.Errorf("%s: taken as %+v", name, s)
+		}
+	}
+	for name, data := range map[string][]byte{"empty": {}, "no map": {0x93, 1, 2, 3}, "text": []byte("hello"),
+		"cut off": body(nil)[:40], "more after it": append(body(nil), 0xc0), "huge map": {0xdf, 0xff, 0xff, 0xff, 0xff},
+		"huge list": {0x81, 0xa6, 'f', 'r', 'a', 'm', 'e', 's', 0xdd, 0xff, 0xff, 0xff, 0xff}} {
+		if _, err := DecodeSubmission(data); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+func nest(n int) any {
+	var v any = 1
+	for range n {
+		v = []any{v}
+	}
+	return v
+}
+
+func rules() *Rules {
+	return &Rules{Zones: []unit.Zone{"a"}, Teams: map[unit.Team]config.Team{"red": {Name: "red", CPUsMax: 8}},
+		Types: []*fleet.Type{{Name: "m", Capacity: checkpoint.Resources{CPUs: 4, MemoryGB: 16}, Zones: []unit.Zone{"a"}}}}
+}
+
+func TestCheck(t *testing.T) {
+	base := checkpoint.Spec{Team: "red", Tasks: 100, CPUs: 2, MemoryGB: 4}
+	for name, c := range map[string]struct {
+		change func(*checkpoint.Spec)
+		want   int
+	}{
+		"array beyond the limit as a whole": {func(*checkpoint.Spec) {}, 0},
+		"service beyond the limit":          {func(s *checkpoint.Spec) { s.Service = true }, 422},
+		"service within the limit":          {func(s *checkpoint.Spec) { s.Service, s.Tasks = true, 4 }, 0},
+		"unknown team":                      {func(s *checkpoint.Spec) { s.Team = "green" }, 422},
+		"too large for any machine":         {func(s *checkpoint.Spec) { s.CPUs = 5 }, 422},
+		"unknown type":                      {func(s *checkpoint.Spec) { s.Types = []unit.MachineType{"x"} }, 422},
+		"unknown zone":                      {func(s *checkpoint.Spec) { s.Zone = "z" }, 422},
+		"accelerators nobody has":           {func(s *checkpoint.Spec) { s.GPUs = 1 }, 422},
+	} {
+		s := base
+		c.change(&s)
+		if got := rules().Check(&s); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
+		}
+	}
+	blind := rules()
+	blind.Types = nil
+	if got := blind.Check(&base); got != http.StatusServiceUnavailable {
+		t.Errorf("machine types not known: %d, want 503", got)
+	}
+}
+
+// answer drives a request with scripted inputs and returns its answer.
+func answer(t *testing.T, r *Request, inputs ...Input) Answer {
+	t.Helper()
+	for i, in := range inputs {
+		act := r.Step(in)
+		if a, ok := act.(Answer); ok {
+			if i != len(inputs)-1 {
+				t.Fatalf("answered %+v before input %d", a, i+1)
+			}
+			return a
+		}
+	}
+	t.Fatal("no answer")
+	return Answer{}
+}
+
+func TestSubmit(t *testing.T) {
+	sub, err := DecodeSubmission(body(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec := checkpoint.NewRecord(sub.Spec, 0)
+	done := *rec
+	done.Phase, done.Done = checkpoint.Done, unit.Full(sub.Spec.Tasks)
+	for name, c := range map[string]struct {
+		inputs []Input
+		code   int
+		st     Standing
+	}{
+		"stored":                       {[]Input{Begin{}, Created{Stored}}, 201, Queued},
+		"known":                        {[]Input{Begin{}, Created{Exists}, Loaded{OK: true, Record: rec}}, 200, Queued},
+		"known and over":               {[]Input{Begin{}, Created{Exists}, Loaded{OK: true, Record: &done}}, 200, Done},
+		"answer lost, stored":          {[]Input{Begin{}, Created{Uncertain}, Loaded{OK: true, Record: rec}}, 200, Queued},
+		"answer lost, not stored yet":  {[]Input{Begin{}, Created{Uncertain}, Loaded{OK: true}}, 503, ""},
+		"answer lost, can't read back": {[]Input{Begin{}, Created{Uncertain}, Loaded{}}, 503, ""},
+		"no budget":                    {[]Input{Begin{}, Created{Refused}}, 503, ""},
+	} {
+		a := answer(t, NewSubmit(sub, rules(), 0), c.inputs...)
+		if a.Code != c.code || a.Status.Standing != c.st {
+			t.Errorf("%s: %d %q, want %d %q", name, a.Code, a.Status.Standing, c.code, c.st)
+		}
+		if a.Code == 503 && a.RetryAfter <= 0 {
+			t.Errorf("%s: no time to come back", name)
+		}
+	}
+}
+
+// TestKnownJobIsNeverRefused: once accepted, a job is not called impossible,
+// whatever the machine types look like later.
+func TestKnownJobIsNeverRefused(t *testing.T) {
+	sub, _ := DecodeSubmission(body(map[string]any{"cpus": 64.0}))
+	rec := checkpoint.NewRecord(sub.Spec, 0)
+	if a := answer(t, NewSubmit(sub, rules(), 0), Begin{}, Loaded{OK: true, Record: rec}); a.Code != 200 {
+		t.Errorf("known job answered %d", a.Code)
+	}
+	if a := answer(t, NewSubmit(sub, rules(), 0), Begin{}, Loaded{OK: true}); a.Code != 422 {
+		t.Errorf("impossible job answered %d", a.Code)
+	}
+	if a := answer(t, NewSubmit(sub, rules(), 0), Begin{}, Loaded{}); a.Code != 503 {
+		t.Errorf("undecided job answered %d", a.Code)
+	}
+}
+
+func TestAsk(t *testing.T) {
+	active := checkpoint.NewRecord(checkpoint.Spec{Tasks: 2}, 0)
+	cancelled := *active
+	cancelled.Phase = checkpoint.Cancelled
+	for name, c := range map[string]struct {
+		kind   Kind
+		inputs []Input
+		code   int
+		st     Standing
+	}{
+		"leader knows":                       {Poll, []Input{Begin{}, Told{Known, Status{Standing: Running}}}, 200, Running},
+		"404 only after the state was asked": {Poll, []Input{Begin{}, Told{Outcome: Absent}, Loaded{OK: true}}, 404, ""},
+		"leader behind":                      {Poll, []Input{Begin{}, Told{Outcome: Absent}, Loaded{OK: true, Record: active}}, 200, Queued},
+		"no leader, record":                  {Poll, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{OK: true, Record: &cancelled}}, 200, Cancelled},
+		"nobody answers":                     {Poll, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{}}, 503, ""},
+		"leader busy":                        {Withdraw, []Input{Begin{}, Told{Outcome: Busy}}, 503, ""},
+		"withdrawn":                          {Withdraw, []Input{Begin{}, Told{Known, Status{Standing: Cancelled}}}, 200, Cancelled},
+		"only the leader withdraws":          {Withdraw, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{OK: true, Record: active}}, 503, ""},
+		"withdrawn before":                   {Withdraw, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{OK: true, Record: &cancelled}}, 200, Cancelled},
+	} {
+		a := answer(t, NewAsk(c.kind), c.inputs...)
+		if a.Code != c.code || a.Status.Standing != c.st {
+			t.Errorf("%s: %d %q, want %d %q", name, a.Code, a.Status.Standing, c.code, c.st)
+		}
+	}
+}
+
+// TestDoneOnlyOnceStored: a job whose last task has just completed is not
+// called done before its checkpoint says so.
+func TestDoneOnlyOnceStored(t *testing.T) {
+	j := checkpoint.NewJob("wk-000001", checkpoint.NewRecord(checkpoint.Spec{Tasks: 1}, 0), 1, 0)
+	j.Complete(1, 0)
+	if got := StatusOf(j); got.Standing == Done {
+		t.Error("done before it is stored")
+	}
+	j.StoredPhase = j.Phase
+	if diff := cmp.Diff(Status{Standing: Done, Done: 1}, StatusOf(j)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func FuzzDecodeSubmission(f *testing.F) {
+	f.Add(body(nil))
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0x81, 0xa6, 'f', 'r', 'a', 'm', 'e', 's', 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := DecodeSubmission(data); err == nil && (s.Spec.Tasks < 1 || s.Spec.CPUs <= 0 || s.ID == "") {
+			t.Errorf("impossible submission taken: %+v", s)
+		}
+	})
+}
--- /dev/null
+++ b/internal/leadership/leadership_test.go
@@ -0,0 +1,132 @@
+package leadership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"badgerbay/internal/unit"
+)
+
+const t0 = unit.Instant(time.Hour)
+
+var times = Times{Life: 10 * time.Second, Renew: 3 * time.Second, Poll: 500 * time.Millisecond}
+
+func machine() *Machine { return New("n0", times, rand.New(rand.NewPCG(1, 2))) }
+
+// elect brings a machine to leadership at t0 with the epoch.
+func elect(t *testing.T, epoch unit.Epoch) *Machine {
+	t.Helper()
+	m := machine()
+	m.Step(t0, Tick{})
+	if e := m.Step(t0, KeyRead{OK: true}); len(e) != 1 {
+		t.Fatalf("no lease asked for: %v", e)
+	}
+	if e := m.Step(t0, Granted{OK: true, Tenure: 7, Sent: t0}); len(e) != 1 {
+		t.Fatalf("the key is not set: %v", e)
+	}
+	m.Step(t0, Acquired{Outcome: OK, Epoch: epoch})
+	if !m.Entitled(t0) || m.Epoch() != epoch {
+		t.Fatal("not leading")
+	}
+	return m
+}
+
+func TestEntitlementEndsBeforeTheLease(t *testing.T) {
+	m := elect(t, 5)
+	if !m.Entitled(t0.Add(9500 * time.Millisecond)) {
+		t.Error("entitlement ends far too soon")
+	}
+	if m.Entitled(t0.Add(9900 * time.Millisecond)) {
+		t.Error("entitled up to the end of the lease, with no margin")
+	}
+	m.Step(t0.Add(3*time.Second), Renewed{Outcome: OK, Sent: t0.Add(2 * time.Second)})
+	if m.Entitled(t0.Add(11900*time.Millisecond)) || !m.Entitled(t0.Add(11*time.Second)) {
+		t.Error("a renewal must count from when it was sent")
+	}
+}
+
+// TestLateRenewalGoesOn: the key was bound to the lease all along, so an owner
+// whose renewal succeeds after its deadline was never deposed.
+func TestLateRenewalGoesOn(t *testing.T) {
+	m := elect(t, 5)
+	late := t0.Add(25 * time.Second)
+	m.Step(late, Renewed{Outcome: Unknown})
+	if m.Entitled(late) || !m.Leads() {
+		t.Fatal("must lead without being entitled")
+	}
+	m.Step(late, Renewed{Outcome: OK, Sent: late})
+	if !m.Entitled(late) || m.Epoch() != 5 {
+		t.Error("not entitled again after the renewal")
+	}
+	m.Step(late, Renewed{Outcome: Gone})
+	if m.Leads() {
+		t.Error("leads without a lease")
+	}
+}
+
+// TestLostAnswerIsReadBack: an acquisition without an answer counts only when
+// the key is seen to hold this very attempt.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	m := machine()
+	m.Step(t0, KeyRead{OK: true})
+	effects := m.Step(t0, Granted{OK: true, Tenure: 7, Sent: t0})
+	mine := effects[0].(Acquire).Holder
+	m.Step(t0, Acquired{Outcome: Unknown})
+	if m.Leads() {
+		t.Fatal("leads on a guess")
+	}
+	other := *m
+	other.Step(t0, KeyRead{OK: true, Holder: Holder{Node: "n0", Nonce: "of an earlier process"}, Stamp: 4})
+	if other.Leads() {
+		t.Error("inherits the epoch of an earlier process")
+	}
+	m.Step(t0.Add(time.Second), KeyRead{OK: true, Holder: mine, Stamp: 9})
+	if !m.Leads() || m.Epoch() != 9 {
+		t.Error("does not know its own key")
+	}
+}
+
+// TestRestartTakesOverAtOnce: the key of an earlier process of this node is
+// taken over without waiting for its lease, under the guard of its stamp.
+func TestRestartTakesOverAtOnce(t *testing.T) {
+	m := machine()
+	m.Step(t0, KeyRead{OK: true, Holder: Holder{Node: "n0", Nonce: "dead"}, Stamp: 40})
+	effects := m.Step(t0, Granted{OK: true, Tenure: 8, Sent: t0})
+	if a := effects[0].(Acquire); a.Prev != 40 {
+		t.Errorf("guarded by %d, want the stamp of the dead process", a.Prev)
+	}
+	m2 := machine()
+	if e := m2.Step(t0, KeyRead{OK: true, Holder: Holder{Node: "n1", Nonce: "alive"}, Stamp: 40}); e != nil {
+		t.Errorf("stands against a live leader: %v", e)
+	}
+}
+
+func TestRaiseSealKeepsLeadership(t *testing.T) {
+	m := elect(t, 5)
+	e := m.Step(t0, RaiseSeal{})
+	if len(e) != 1 || e[0].(Reseal).Prev != 5 || !m.Sealing() {
+		t.Fatalf("effects %v", e)
+	}
+	if again := m.Step(t0, RaiseSeal{}); again != nil {
+		t.Error("two raises at once")
+	}
+	m.Step(t0, Resealed{Outcome: OK, Epoch: 12})
+	if m.Epoch() != 12 || m.Sealing() || !m.Entitled(t0) {
+		t.Error("the raise did not take")
+	}
+}
+
+func TestResignRests(t *testing.T) {
+	m := elect(t, 5)
+	e := m.Step(t0, Resign{Rest: 20 * time.Second})
+	if len(e) != 1 || e[0].(Release).Tenure != 7 || m.Leads() {
+		t.Fatalf("effects %v", e)
+	}
+	if e := m.Step(t0.Add(time.Second), KeyRead{OK: true}); e != nil {
+		t.Error("stands again at once")
+	}
+	if e := m.Step(t0.Add(21*time.Second), KeyRead{OK: true}); len(e) != 1 {
+		t.Error("does not stand after its rest")
+	}
+}
