Give guaranteed tasks a turn of their own and stop no more than is beyond a guarantee

Cause: tasks told to stop for another team's guarantee still counted as its use, so more were stopped than lay beyond it; the team then stood within its guarantee again, took the room back by arrival, and was stopped again, ten times a second. Ruled out: record size, avoided machines, zone limits.

--- a/internal/controller/server_test.go
+++ b/internal/controller/server_test.go
@@ -215,6 +215,7 @@
 func TestHigherSealDeposes(t *testing.T) {
 	b := newBench(t)
 	b.lead(t)
+	b.srv.State.Down = true // it can't be elected again
 	if w := b.call("POST", "/agent/beat", report(78)); w.Code != 503 {
 		t.Errorf("%d, want 503", w.Code)
 	}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -446,7 +446,7 @@
 	j := t.jobs[in.Job]
 	if j == nil {
 		t.addJob(now, in.Job, in.Item)
-		t.c.log.Info("job taken in", "job", in.Job, "epoch", t.epoch)
+		t.c.log.Info("job taken in", "job", in.Job, "team", t.jobs[in.Job].Spec.Team, "tasks", t.jobs[in.Job].Spec.Tasks, "epoch", t.epoch)
 		return
 	}
 	if j.Writing || in.Item.Stamp <= j.Version {
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -43,7 +43,10 @@
 }
 
 // Stop is a placement to be stopped to make room.
-type Stop struct{ Placement *checkpoint.Placement }
+type Stop struct {
+	Placement *checkpoint.Placement
+	For       unit.JobID
+}
 
 // Expect is what the objectives say of a class; 0: nothing.
 type Expect struct{ Start, Finish time.Duration }
@@ -86,25 +89,27 @@
 	// in it until its exit is seen; giving counts it for the guarantees.
 	usage  map[unit.Team]checkpoint.Resources
 	giving map[unit.Team]checkpoint.Resources
-	queue  []*checkpoint.Job
-	added  map[*checkpoint.Job]map[unit.Zone]int // tasks given a place in this plan
-	taken  map[*checkpoint.Placement]bool
-	full   bool
+	queue  []turn
+	// handled counts the tasks of a job that this plan has dealt with.
+	handled map[*checkpoint.Job]int
+	added   map[*checkpoint.Job]map[unit.Zone]int // tasks given a place in this plan
+	taken   map[*checkpoint.Placement]bool
+	full    bool
 }
 
 // Make plans a round. It changes nothing it is given.
 func Make(w *World) *Plan {
 	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
-		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
+		handled: map[*checkpoint.Job]int{}, added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
 	p.order()
 	p.makeBins()
 	var short []shortage
-	for _, j := range p.queue {
-		if n := p.placeJob(j); n > 0 && !p.full {
-			short = append(short, shortage{j, n})
+	for _, t := range p.queue {
+		if n := p.placeJob(t); n > 0 && !p.full {
+			short = append(short, shortage{t.job, n})
 		}
 	}
 	p.rent(short)
@@ -120,31 +125,54 @@
 func (p *planner) countUsage() {
 	for _, j := range p.w.All {
 		p.usage[j.Spec.Team] = p.usage[j.Spec.Team].Plus(j.Spec.Need().Times(len(j.Live)))
+		for _, v := range j.Live {
+			if v.Halting {
+				p.giving[j.Spec.Team] = p.giving[j.Spec.Team].Plus(j.Spec.Need())
+			}
+		}
 	}
 }
 
+// turn is a job's place in the order. A job has two turns if only some of its
+// tasks fit its team's guarantee: those come first.
+type turn struct {
+	job        *checkpoint.Job
+	guaranteed bool
+}
+
 // order sorts the jobs: by priority, then work within a team's guarantee
 // first, then arrival.
 func (p *planner) order() {
-	p.queue = append(p.queue, p.w.Jobs...)
-	within := map[*checkpoint.Job]bool{}
-	for _, j := range p.queue {
-		within[j] = p.withinGuarantee(j)
+	for _, j := range p.w.Jobs {
+		p.queue = append(p.queue, turn{job: j})
+		if p.withinGuarantee(j) && !j.Spec.Gang {
+			p.queue = append(p.queue, turn{job: j, guaranteed: true})
+		}
 	}
 	sort.SliceStable(p.queue, func(a, b int) bool {
 		x, y := p.queue[a], p.queue[b]
 		switch {
-		case x.Spec.Priority != y.Spec.Priority:
-			return x.Spec.Priority > y.Spec.Priority
-		case within[x] != within[y]:
-			return within[x]
-		case x.Accepted != y.Accepted:
-			return x.Accepted < y.Accepted
+		case x.job.Spec.Priority != y.job.Spec.Priority:
+			return x.job.Spec.Priority > y.job.Spec.Priority
+		case x.guaranteed != y.guaranteed:
+			return x.guaranteed
+		case x.job.Accepted != y.job.Accepted:
+			return x.job.Accepted < y.job.Accepted
 		}
-		return x.ID < y.ID
+		return x.job.ID < y.job.ID
 	})
 }
 
+// guaranteed tells how many more tasks of the job its team's guarantee covers.
+func (p *planner) guaranteed(j *checkpoint.Job) int {
+	t, used := p.w.Teams[j.Spec.Team], p.usage[j.Spec.Team]
+	n := int((t.CPUs - used.CPUs + 1e-6) / j.Spec.CPUs)
+	if j.Spec.GPUs > 0 {
+		n = min(n, int((t.GPUs-used.GPUs+1e-6)/j.Spec.GPUs))
+	}
+	return max(0, n)
+}
+
 // withinGuarantee tells whether one more task of the job keeps its team within
 // its guarantee.
 func (p *planner) withinGuarantee(j *checkpoint.Job) bool {
@@ -208,12 +236,18 @@
 
 // placeJob starts as many of the job's tasks as fit, and returns how many that
 // could start by its limits found no room.
-func (p *planner) placeJob(j *checkpoint.Job) int {
-	left := min(j.Queue.Len(), p.quota(j), j.Room(p.w.ValueBytes, p.w.SpecSize(j)))
+func (p *planner) placeJob(t turn) int {
+	j := t.job
+	skip := p.handled[j]
+	left := min(j.Queue.Len()-skip, p.quota(j), j.Room(p.w.ValueBytes, p.w.SpecSize(j))-skip)
+	if t.guaranteed {
+		left = min(left, p.guaranteed(j))
+	}
 	if left <= 0 || p.full {
 		return 0
 	}
-	tasks := queued(j, left)
+	p.handled[j] += left
+	tasks := queued(j, skip, left)
 	bins := p.ranked(j)
 	if j.Spec.Gang && !p.holdsAll(j, bins, left) {
 		return p.wholeGang(j, left)
@@ -231,13 +265,16 @@
 	if len(tasks) == 0 || p.full {
 		return 0
 	}
-	return p.noRoom(j, len(tasks))
+	return p.noRoom(j, len(tasks), t.guaranteed)
 }
 
-func queued(j *checkpoint.Job, n int) []unit.TaskIndex {
+// queued lists n queued tasks of the job after the first skip.
+func queued(j *checkpoint.Job, skip, n int) []unit.TaskIndex {
 	out := make([]unit.TaskIndex, 0, n)
 	j.Queue.Each(func(i unit.TaskIndex) bool {
-		out = append(out, i)
+		if skip--; skip < 0 {
+			out = append(out, i)
+		}
 		return len(out) < n
 	})
 	return out
@@ -335,9 +372,9 @@
 // noRoom handles tasks that fit no free machine: room is made for them by
 // stopping others where the rules allow it; else they wait for machines that
 // are coming. It returns how many need a machine rented.
-func (p *planner) noRoom(j *checkpoint.Job, n int) int {
+func (p *planner) noRoom(j *checkpoint.Job, n int, guaranteed bool) int {
 	p.plan.Short += n
-	if p.mayPreempt(j) {
+	if guaranteed || p.mayPreempt(j) {
 		for n > 0 && p.makeRoom(j) {
 			n--
 		}
@@ -357,7 +394,7 @@
 }
 
 func (p *planner) mayPreempt(j *checkpoint.Job) bool {
-	if j.Spec.Priority >= checkpoint.High || p.withinGuarantee(j) || p.patience(j) < urgentBelow {
+	if j.Spec.Priority >= checkpoint.High || p.patience(j) < urgentBelow {
 		return true
 	}
 	return p.w.Now.Sub(j.QueuedAt) >= p.w.Policy.PreemptAfter
@@ -444,7 +481,7 @@
 		p.taken[v] = true
 		best.later = best.later.Plus(v.Job.Spec.Need())
 		if !v.Halting {
-			p.plan.Stops = append(p.plan.Stops, Stop{v})
+			p.plan.Stops = append(p.plan.Stops, Stop{v, j.ID})
 			p.giving[v.Job.Spec.Team] = p.giving[v.Job.Spec.Team].Plus(v.Job.Spec.Need())
 		}
 	}
@@ -499,7 +536,9 @@
 	if v.Job.Spec.Priority < j.Spec.Priority {
 		return true
 	}
-	if v.Job.Spec.Team == j.Spec.Team || !p.withinGuarantee(j) {
+	// Work beyond another team's guarantee must yield whatever its priority;
+	// but stopping what would go before the job again is of no use to anybody.
+	if v.Job.Spec.Team == j.Spec.Team || v.Job.Spec.Priority > j.Spec.Priority || !p.withinGuarantee(j) {
 		return false
 	}
 	t := p.w.Teams[v.Job.Spec.Team]
