Relay cut-off workers, over the mesh or through the state service; lease 6 s

Cause: a leader cut off from a zone lost all of its workers' leases, and gave their machines back one by one as they fell silent. Workers that come back from a leader they could not reach are now relayed to it by the node they are at; through keys of the state service when the mesh is cut. A first silent machine is no longer returned while others miss reports too. Nodes that lose the state service alone learn who leads from the others, and step out of the load balancer; in an outage for all they stay and refuse at once. Prod work stops something where its image is rather than wait for a fetch.

--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -24,7 +24,7 @@
 	doTimeout    = 3 * time.Second
 	retryUnsure  = 150 * time.Millisecond
 	watchHold    = 5 * time.Second
-	watchBetween = time.Second
+	watchBetween = 250 * time.Millisecond
 )
 
 // carryOut starts an effect. Answers leave at once; calls run beside the actor
@@ -176,6 +176,7 @@
 	}
 	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Jobs: jobs, Rounds: rounds})
 	if err == nil {
+		go n.relayDown(ctx, epoch, since)
 		n.watchJobs(ctx, epoch, since)
 	}
 }
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -146,6 +146,8 @@
 		Orders []fleet.Order
 		Leader string
 		Until  unit.Instant
+		// Relayed: another node has checked that it may be given.
+		Relayed bool
 	}
 	// ReplyAsk answers a poll or a withdrawal; Known must leave before Until.
 	ReplyAsk struct {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -19,6 +19,7 @@
 	Preemptions   prometheus.Counter
 	Throttled     prometheus.Counter
 	Uncertain     prometheus.Counter
+	Relayed       prometheus.Counter
 	Submissions   *prometheus.CounterVec
 	Reports       *prometheus.CounterVec
 	CheckpointAge prometheus.Gauge
@@ -58,6 +59,7 @@
 	m.Preemptions = counter("preemptions_total", "Tasks stopped to make room.")
 	m.Throttled = counter("throttled_total", "Requests that the state service or the cloud throttled.")
 	m.Uncertain = counter("uncertain_operations_total", "Requests whose outcome had to be read back.")
+	m.Relayed = counter("relayed_reports_total", "Reports of cut-off workers answered through the state service.")
 	m.Submissions = vec("user_answers_total", "Answers to users by status.", "code")
 	m.Reports = vec("report_answers_total", "Answers to workers by status.", "code")
 	m.CheckpointAge = gauge("checkpoint_age_seconds", "Age of the oldest change that is not stored.")
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,8 +26,6 @@
 const (
 	inboxSize = 1024
 	tickEvery = 50 * time.Millisecond
-	// maxCalls bounds the calls that are under way for the core.
-	maxCalls = 64
 )
 
 // view is what the handlers may know of the core without asking it.
@@ -50,9 +49,12 @@
 	peers  *mesh.Peers
 	core   *Core
 	inbox  chan Input
-	calls  chan struct{}
 	view   atomic.Pointer[view]
 	health health
+
+	relays     relayDesk
+	relayOut   chan relayItem
+	meshFailed sync.Map // peer to the Instant of its last failure
 }
 
 // NewNode composes a node from its settings.
@@ -68,7 +70,8 @@
 		store:  statestore.NewClient(set.External.State, transport(16)),
 		cloud:  rental.NewCloud(set.External.Cloud, transport(4)),
 		worker: &http.Client{Transport: transport(1), Timeout: doTimeout},
-		inbox:  make(chan Input, inboxSize), calls: make(chan struct{}, maxCalls)}
+		inbox:  make(chan Input, inboxSize), relayOut: make(chan relayItem, relayQueue)}
+	n.health.hint.Store("")
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.core = NewCore(set, pol, clock, n.budget, rng, log, n.met)
 	n.view.Store(&view{})
@@ -108,6 +111,8 @@
 		failed <- mesh.Serve(netutil.LimitListener(peers, max(1, limit/20)), &meshServer{n: n})
 	}()
 	go n.act(ctx)
+	go n.relayUp(ctx)
+	go n.watchHealth(ctx)
 	n.log.Info("serving", "node", n.set.Label, "zone", n.set.Location)
 	select {
 	case <-ctx.Done():
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -286,21 +286,27 @@
 // go on. Returning it proves that its tasks are gone sooner than its lease
 // does. Many silent machines at once look like a cut, and are left alone.
 func (t *term) silent(now unit.Instant) map[unit.MachineID]bool {
-	quiet := map[unit.MachineID]bool{}
-	up := 0
+	silent := map[unit.MachineID]bool{}
+	up, quiet := 0, 0
 	for _, m := range t.fleet.Machines() {
 		if !m.Up {
 			continue
 		}
 		up++
-		if now.Sub(max(m.LastReport, t.acquired)) > t.c.pol.SilentAfter {
-			quiet[m.ID] = true
+		last := now.Sub(max(m.LastReport, t.acquired))
+		if last > t.c.set.Params.Workers.ReportInterval()*3/2 {
+			quiet++
+		}
+		if last > t.c.pol.SilentAfter {
+			silent[m.ID] = true
 		}
 	}
-	if len(quiet) > max(1, up/10) || up < 2 {
+	// Those that miss their first report count too: in a cut the machines fall
+	// silent one after the other, and the first must not be returned alone.
+	if quiet > max(1, up/10) || up < 3 {
 		return nil
 	}
-	return quiet
+	return silent
 }
 
 // maxTxn keeps a transaction below the state service's limit of 64 KiB.
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -11,11 +11,13 @@
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/intake"
+	"badgerbay/internal/mesh"
 	"badgerbay/internal/mesh/meshpb"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
@@ -32,14 +34,21 @@
 	reportBudget    = 3 * time.Second
 )
 
-// health tells whether this node can serve users.
-type health struct{ lastState atomic.Int64 }
+// health tells what this node can reach.
+type health struct {
+	lastState atomic.Int64
+	alone     atomic.Bool  // the others reach the state service and we don't
+	hint      atomic.Value // string: who leads, by what the others say
+}
 
 func (h *health) stateOK(now unit.Instant) { h.lastState.Store(int64(now)) }
 
-// stateGrace is how long the state service may be silent before a node counts
-// itself out: it could store nothing.
-const stateGrace = 5 * time.Second
+const (
+	// stateQuiet: after so long without an answer of the state service a node
+	// asks the others whether they have one.
+	stateQuiet  = 2 * time.Second
+	healthEvery = 500 * time.Millisecond
+)
 
 func (n *Node) routes() http.Handler {
 	r := httprouter.New()
@@ -58,8 +67,9 @@
 }
 
 func (n *Node) up(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	last := unit.Instant(n.health.lastState.Load())
-	if last == 0 || n.clock.Now().Sub(last) > stateGrace || n.view.Load().types == nil {
+	// In an outage of the state service all nodes stay up: users get their
+	// 503 at once, and no node needs to become healthy again after it.
+	if n.health.lastState.Load() == 0 || n.health.alone.Load() || n.view.Load().types == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -96,7 +106,7 @@
 	}
 	req := intake.NewSubmit(sub, n.rules(), n.clock.Wall().UnixMilli())
 	ans := n.drive(ctx, sub.ID, req)
-	if ans.Code == http.StatusServiceUnavailable && forward && !n.stateReachable() {
+	if ans.Code == http.StatusServiceUnavailable && forward && !n.stateReachable(time.Second) {
 		if other, ok := n.handOver(ctx, data); ok {
 			return sub.ID, other
 		}
@@ -104,8 +114,9 @@
 	return sub.ID, ans
 }
 
-func (n *Node) stateReachable() bool {
-	return n.clock.Now().Sub(unit.Instant(n.health.lastState.Load())) < time.Second
+// stateReachable tells whether the state service has answered within d.
+func (n *Node) stateReachable(d time.Duration) bool {
+	return n.clock.Now().Sub(unit.Instant(n.health.lastState.Load())) < d
 }
 
 func (n *Node) handOver(ctx context.Context, data []byte) (intake.Answer, bool) {
@@ -225,22 +236,41 @@
 // askLeader asks the core if this node leads, and the leader's node otherwise.
 func (n *Node) askLeader(ctx context.Context, id unit.JobID, withdraw bool) intake.Told {
 	v := n.view.Load()
+	leader := n.leader()
 	if v.epoch != 0 {
-		return n.askCore(ctx, id, withdraw)
+		t := n.askCore(ctx, id, withdraw)
+		if t.Outcome != intake.NoLeader || leader == n.set.Label {
+			return t
+		}
 	}
-	if v.leader == "" || v.leader == n.set.Label {
+	if leader == "" || leader == n.set.Label {
 		return intake.Told{Outcome: intake.NoLeader}
 	}
-	timeout := askTimeout
+	if n.meshWorks(leader) {
+		timeout := askTimeout
+		if withdraw {
+			timeout = withdrawTimeout
+		}
+		reply, err := n.peers.Ask(ctx, leader, &meshpb.AskRequest{Job: string(id), Withdraw: withdraw}, timeout)
+		n.noteMesh(leader, err)
+		if err == nil {
+			return told(reply)
+		}
+		n.log.Debug("leader not reached", "leader", leader, "err", err)
+	}
 	if withdraw {
-		timeout = withdrawTimeout
+		return n.relayAsk(ctx, id)
 	}
-	reply, err := n.peers.Ask(ctx, v.leader, &meshpb.AskRequest{Job: string(id), Withdraw: withdraw}, timeout)
-	if err != nil {
-		n.log.Debug("leader not reached", "leader", v.leader, "err", err)
-		return intake.Told{Outcome: intake.NoLeader}
+	return intake.Told{Outcome: intake.NoLeader}
+}
+
+// leader is the node that leads, as far as this one knows: by the state
+// service, or by the others while that does not answer.
+func (n *Node) leader() string {
+	if hint := n.health.hint.Load().(string); hint != "" {
+		return hint
 	}
-	return told(reply)
+	return n.view.Load().leader
 }
 
 func told(r *meshpb.AskReply) intake.Told {
@@ -316,9 +346,28 @@
 		case <-ctx.Done():
 		}
 	}
+	if reply.Code == http.StatusMisdirectedRequest || reply.Code == http.StatusServiceUnavailable && n.health.hint.Load() != "" {
+		reply = n.sendOn(ctx, report, reply)
+	}
 	n.answerReport(w, reply)
 }
 
+// sendOn sends a worker to the leader, or relays its report if it has just
+// come back from there without having reached it.
+func (n *Node) sendOn(ctx context.Context, r *fleet.Report, reply ReplyReport) ReplyReport {
+	leader := n.leader()
+	if leader == "" || leader == n.set.Label {
+		reply.Leader = ""
+		return reply
+	}
+	reply.Code, reply.Leader = http.StatusMisdirectedRequest, leader
+	works := func() bool { return n.meshWorks(leader) }
+	if n.relays.direct(n.clock.Now(), r.Machine, works) {
+		return reply
+	}
+	return n.relayReport(ctx, leader, r)
+}
+
 func (n *Node) answerReport(w http.ResponseWriter, reply ReplyReport) {
 	var body []byte
 	var err error
@@ -334,7 +383,7 @@
 	}
 	// The last moment before the answer leaves: a process that was starved
 	// must not renew a worker's lease after its own entitlement has ended.
-	if err != nil || reply.Code == http.StatusOK && !n.clock.Now().Before(reply.Until) {
+	if err != nil || reply.Code == http.StatusOK && !reply.Relayed && !n.clock.Now().Before(reply.Until) {
 		reply.Code, body = http.StatusServiceUnavailable, nil
 	}
 	n.met.Reports.WithLabelValues(strconv.Itoa(reply.Code)).Inc()
@@ -365,6 +414,21 @@
 		Done: uint32(t.Status.Done), Running: uint32(t.Status.Running)}, nil
 }
 
+// Relay lets the core answer the reports of workers that can't reach this node.
+func (s *meshServer) Relay(ctx context.Context, r *meshpb.RelayRequest) (*meshpb.RelayReply, error) {
+	b, err := mesh.DecodeBatch(r.Batch)
+	if err != nil {
+		return nil, err
+	}
+	data, err := msgpack.Marshal(s.n.serveBatch(ctx, b))
+	return &meshpb.RelayReply{Answers: data}, err
+}
+
+// Health tells what this node can reach.
+func (s *meshServer) Health(context.Context, *meshpb.HealthRequest) (*meshpb.HealthReply, error) {
+	return &meshpb.HealthReply{StateReached: s.n.stateReachable(stateQuiet), Leader: s.n.view.Load().leader}, nil
+}
+
 // Notice takes in that a job was stored.
 func (s *meshServer) Notice(_ context.Context, r *meshpb.NoticeRequest) (*meshpb.NoticeReply, error) {
 	id, err := unit.ParseJobID(r.Job)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -101,6 +101,32 @@
 	return c.Accept(ctx, &meshpb.AcceptRequest{Submission: submission})
 }
 
+// Relay hands a batch of reports to the peer.
+func (p *Peers) Relay(ctx context.Context, name string, batch []byte) ([]byte, error) {
+	c, err := p.client(name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	reply, err := c.Relay(ctx, &meshpb.RelayRequest{Batch: batch})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Answers, nil
+}
+
+// Health asks what the peer can reach.
+func (p *Peers) Health(ctx context.Context, name string) (*meshpb.HealthReply, error) {
+	c, err := p.client(name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.Health(ctx, &meshpb.HealthRequest{})
+}
+
 // Serve answers peers on the listener until it is closed.
 func Serve(l net.Listener, impl meshpb.MeshServer) error {
 	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
--- /dev/null
+++ b/internal/mesh/relay.go
@@ -0,0 +1,194 @@
+package mesh
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
+)
+
+// Keys of the state service through which a cut-off node and the leader
+// exchange batches. Each node has one key each way.
+const (
+	UpPrefix   = "relay/up/"
+	DownPrefix = "relay/down/"
+)
+
+// Batch is what a node hands to the leader: workers' reports, and what users
+// ask. It is kept small, since it travels in one value.
+type Batch struct {
+	ID      string            `msgpack:"id" json:"id"`
+	Reports wire.List[Report] `msgpack:"r,omitempty" json:"r,omitempty"`
+	Asks    wire.List[Ask]    `msgpack:"a,omitempty" json:"a,omitempty"`
+}
+
+// Ask is a withdrawal on its way to the leader.
+type Ask struct {
+	Job unit.JobID `msgpack:"j" json:"j"`
+}
+
+// Report is a worker's report with its tasks in groups.
+type Report struct {
+	Machine unit.MachineID   `msgpack:"m" json:"m"`
+	Addr    string           `msgpack:"a" json:"a"`
+	Type    unit.MachineType `msgpack:"t" json:"t"`
+	Zone    unit.Zone        `msgpack:"z" json:"z"`
+	Spot    bool             `msgpack:"s,omitempty" json:"s,omitempty"`
+	Shift   unit.Shift       `msgpack:"h" json:"h"`
+	Tally   unit.Tally       `msgpack:"y" json:"y"`
+	Seal    unit.Epoch       `msgpack:"e" json:"e"`
+	Notice  *float64         `msgpack:"n,omitempty" json:"n,omitempty"`
+	Tasks   wire.List[Tasks] `msgpack:"g,omitempty" json:"g,omitempty"`
+}
+
+// Tasks are tasks of one job and attempt in one state.
+type Tasks struct {
+	Job     unit.JobID   `msgpack:"j" json:"j"`
+	Attempt unit.Attempt `msgpack:"a" json:"a"`
+	State   fleet.State  `msgpack:"s" json:"s"`
+	Cause   fleet.Cause  `msgpack:"c,omitempty" json:"c,omitempty"`
+	Stored  bool         `msgpack:"d,omitempty" json:"d,omitempty"`
+	Indexes unit.Ranges  `msgpack:"i" json:"i"`
+}
+
+// Answers is what the leader hands back for a batch.
+type Answers struct {
+	ID      string              `msgpack:"id" json:"id"`
+	Reports wire.List[Answer]   `msgpack:"r,omitempty" json:"r,omitempty"`
+	Asks    wire.List[AskState] `msgpack:"a,omitempty" json:"a,omitempty"`
+}
+
+// Answer answers one report.
+type Answer struct {
+	Machine unit.MachineID    `msgpack:"m" json:"m"`
+	Code    int               `msgpack:"c" json:"c"`
+	Epoch   unit.Epoch        `msgpack:"e" json:"e"`
+	Orders  wire.List[Orders] `msgpack:"o,omitempty" json:"o,omitempty"`
+}
+
+// Orders are the same order for tasks of one job and attempt.
+type Orders struct {
+	Verb    fleet.Verb   `msgpack:"v" json:"v"`
+	Job     unit.JobID   `msgpack:"j" json:"j"`
+	Attempt unit.Attempt `msgpack:"a" json:"a"`
+	LeaveS  float64      `msgpack:"l,omitempty" json:"l,omitempty"`
+	Indexes unit.Ranges  `msgpack:"i" json:"i"`
+}
+
+// AskState answers an ask.
+type AskState struct {
+	Job      unit.JobID `msgpack:"j" json:"j"`
+	Standing string     `msgpack:"s" json:"s"` // empty: ask again
+	Done     int        `msgpack:"d,omitempty" json:"d,omitempty"`
+}
+
+// Pack makes the compact form of a report.
+func Pack(r *fleet.Report) Report {
+	out := Report{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot,
+		Shift: r.Shift, Tally: r.Tally, Seal: r.Seal}
+	if r.Noticed {
+		s := r.Notice.Seconds()
+		out.Notice = &s
+	}
+	at := map[tasksKey]int{}
+	for _, e := range r.Entries {
+		k := tasksKey{e.Task.Job, e.Attempt, e.State, e.Cause, e.Stored}
+		n, ok := at[k]
+		if !ok {
+			n = len(out.Tasks)
+			at[k] = n
+			out.Tasks = append(out.Tasks, Tasks{Job: k.job, Attempt: k.attempt, State: k.state, Cause: k.cause, Stored: k.stored})
+		}
+		out.Tasks[n].Indexes.Add(e.Task.Index)
+	}
+	return out
+}
+
+// tasksKey tells groups of tasks apart.
+type tasksKey struct {
+	job     unit.JobID
+	attempt unit.Attempt
+	state   fleet.State
+	cause   fleet.Cause
+	stored  bool
+}
+
+// maxTasks bounds the tasks of one relayed report.
+const maxTasks = 10_000
+
+// Unpack makes a report of its compact form.
+func (r *Report) Unpack() (*fleet.Report, error) {
+	if r.Machine == "" || r.Shift == 0 {
+		return nil, errors.New("relayed report without machine or shift")
+	}
+	out := &fleet.Report{Machine: r.Machine, Addr: r.Addr, Type: r.Type, Zone: r.Zone, Spot: r.Spot,
+		Shift: r.Shift, Tally: r.Tally, Seal: r.Seal}
+	if r.Notice != nil {
+		out.Noticed, out.Notice = true, unit.Seconds(*r.Notice)
+	}
+	for _, g := range r.Tasks {
+		if !g.Indexes.Valid(1<<20) || len(out.Entries)+g.Indexes.Len() > maxTasks {
+			return nil, errors.New("relayed report with impossible tasks")
+		}
+		g.Indexes.Each(func(i unit.TaskIndex) bool {
+			out.Entries = append(out.Entries, fleet.Entry{Task: unit.TaskID{Job: g.Job, Index: i},
+				Attempt: g.Attempt, State: g.State, Cause: g.Cause, Stored: g.Stored})
+			return true
+		})
+	}
+	return out, nil
+}
+
+// PackOrders makes the compact form of orders, keeping their sequence of
+// halts, launches and reaps.
+func PackOrders(orders []fleet.Order) []Orders {
+	var out []Orders
+	for _, o := range orders {
+		n := len(out) - 1
+		if n < 0 || out[n].Verb != o.Verb || out[n].Job != o.Task.Job || out[n].Attempt != o.Attempt || out[n].LeaveS != o.Leave.Seconds() {
+			out = append(out, Orders{Verb: o.Verb, Job: o.Task.Job, Attempt: o.Attempt, LeaveS: o.Leave.Seconds()})
+			n++
+		}
+		out[n].Indexes.Add(o.Task.Index)
+	}
+	return out
+}
+
+// Unpack makes the orders of an answer.
+func (a *Answer) Unpack() []fleet.Order {
+	var out []fleet.Order
+	for _, g := range a.Orders {
+		if !g.Indexes.Valid(1<<20) || len(out)+g.Indexes.Len() > maxTasks {
+			continue
+		}
+		g.Indexes.Each(func(i unit.TaskIndex) bool {
+			out = append(out, fleet.Order{Verb: g.Verb, Task: unit.TaskID{Job: g.Job, Index: i}, Attempt: g.Attempt,
+				Leave: time.Duration(g.LeaveS * float64(time.Second))})
+			return true
+		})
+	}
+	return out
+}
+
+// DecodeBatch reads a batch.
+func DecodeBatch(data []byte) (*Batch, error) {
+	b := new(Batch)
+	if err := msgpack.Unmarshal(data, b); err != nil {
+		return nil, fmt.Errorf("decoding relayed batch: %w", err)
+	}
+	return b, nil
+}
+
+// DecodeAnswers reads the answers to a batch.
+func DecodeAnswers(data []byte) (*Answers, error) {
+	a := new(Answers)
+	if err := msgpack.Unmarshal(data, a); err != nil {
+		return nil, fmt.Errorf("decoding relayed answers: %w", err)
+	}
+	return a, nil
+}
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -4,8 +4,8 @@
 
 # Leadership: life of the lease, time between renewals, and time between looks
 # at the key by a node that does not lead.
-lease_s = 10
-renew_s = 3
+lease_s = 6
+renew_s = 1.5
 leader_poll_s = 0.5
 
 # Rounds: least time between two, slots in the ring of records, and how long a
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -252,7 +252,16 @@
 	if j.Spec.Gang && !p.holdsAll(j, bins, left) {
 		return p.wholeGang(j, left)
 	}
+	rushed := false
 	for _, b := range bins {
+		if !rushed && !b.m.HasImage(j.Spec.Image) && p.rush(j, b) {
+			// The fetch alone would take too long: rather stop something
+			// where the image is.
+			rushed = true
+			for len(tasks) > 0 && p.makeRoom(j, true) {
+				tasks = tasks[1:]
+			}
+		}
 		if len(tasks) == 0 || p.full {
 			break
 		}
@@ -268,6 +277,13 @@
 	return p.noRoom(j, len(tasks), t.guaranteed)
 }
 
+// rush tells whether the job must start sooner than the bin's machine could
+// fetch its image.
+func (p *planner) rush(j *checkpoint.Job, b *bin) bool {
+	within := p.w.Expect[j.Spec.Class].Start.Seconds()
+	return within > 0 && j.Spec.Priority >= checkpoint.High && b.typ.FetchGBps > 0 && j.Spec.ImageGB/b.typ.FetchGBps > within
+}
+
 // queued lists n queued tasks of the job after the first skip.
 func queued(j *checkpoint.Job, skip, n int) []unit.TaskIndex {
 	out := make([]unit.TaskIndex, 0, n)
@@ -375,7 +391,7 @@
 func (p *planner) noRoom(j *checkpoint.Job, n int, guaranteed bool) int {
 	p.plan.Short += n
 	if guaranteed || p.mayPreempt(j) {
-		for n > 0 && p.makeRoom(j) {
+		for n > 0 && p.makeRoom(j, false) {
 			n--
 		}
 	}
@@ -457,13 +473,14 @@
 
 // makeRoom finds the machine where room for one task of the job costs least
 // work, and stops what is in its way. Room that is already being made, or is
-// left there, is kept for the job.
-func (p *planner) makeRoom(j *checkpoint.Job) bool {
+// left there, is kept for the job. With holders only machines that hold the
+// image count.
+func (p *planner) makeRoom(j *checkpoint.Job, holders bool) bool {
 	var best *bin
 	var bestStops []*checkpoint.Placement
 	bestCost := math.Inf(1)
 	for _, b := range p.bins {
-		if !p.allowed(j, b) || p.zoneRoom(j, b.zone) == 0 {
+		if !p.allowed(j, b) || p.zoneRoom(j, b.zone) == 0 || holders && !b.m.HasImage(j.Spec.Image) {
 			continue
 		}
 		stops, cost, ok := p.victims(j, b)
