Relay at once where the mesh is cut, and return no silent machine then

Cause: a worker had to be sent to an unreachable leader by each node of its zone first, 4 s a try; its machine was returned as silent before it was relayed.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -27,6 +27,7 @@
 	types  []*fleet.Type
 	term   *term // nil unless this node holds the leader key
 
+	cut         bool // some node is out of reach over the mesh
 	nextFlavors unit.Instant
 	out         []Effect
 }
@@ -98,6 +99,8 @@
 		c.reported(now, in)
 	case Asked:
 		c.asked(now, in)
+	case MeshCut:
+		c.cut = in.On
 	case FlavorsDone:
 		c.flavors(in)
 	default:
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -85,6 +85,8 @@
 		Sent     unit.Instant
 		Machines []rental.Listed
 	}
+	// MeshCut says whether some other node is out of reach over the mesh.
+	MeshCut struct{ On bool }
 	// FlavorsDone answers CallFlavors.
 	FlavorsDone struct{ Types []*fleet.Type }
 )
@@ -101,6 +103,7 @@
 func (HireDone) input()    {}
 func (ReleaseDone) input() {}
 func (ListDone) input()    {}
+func (MeshCut) input()     {}
 func (FlavorsDone) input() {}
 
 // CommitKind tells the leader's transactions apart; one of each is under way
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -14,6 +14,7 @@
 	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/mesh"
+	"badgerbay/internal/mesh/meshpb"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 )
@@ -386,31 +387,51 @@
 	return out
 }
 
-// watchHealth finds out, while the state service does not answer this node,
-// whether the others reach it, and who leads.
+// watchHealth finds out which nodes the mesh reaches and, while the state
+// service does not answer this node, whether the others reach it, and who
+// leads.
 func (n *Node) watchHealth(ctx context.Context) {
+	cut := false
 	for n.pause(ctx, healthEvery) {
+		reached := n.askPeers(ctx)
+		if now := len(reached) < len(n.peers.Names()); now != cut {
+			cut = now
+			n.post(ctx, MeshCut{On: cut})
+		}
 		if n.stateReachable(stateQuiet) {
 			n.health.alone.Store(false)
 			n.health.hint.Store("")
 			continue
 		}
-		alone, hint, answered := false, "", 0
-		for _, name := range n.peers.Names() {
-			h, err := n.peers.Health(ctx, name)
-			n.noteMesh(name, err)
-			if err != nil {
-				continue
-			}
-			answered++
+		// Whoever reaches nobody at all is cut off from everything.
+		alone, hint := len(reached) == 0 && len(n.peers.Names()) > 0, ""
+		for _, h := range reached {
 			if h.StateReached {
 				alone, hint = true, h.Leader
 			}
 		}
-		if answered == 0 && len(n.peers.Names()) > 0 {
-			alone = true // cut off from everything
-		}
 		n.health.alone.Store(alone)
 		n.health.hint.Store(hint)
 	}
 }
+
+// askPeers asks the others, all at once, what they can reach, and notes which
+// of them the mesh reaches.
+func (n *Node) askPeers(ctx context.Context) []*meshpb.HealthReply {
+	names := n.peers.Names()
+	replies := make(chan *meshpb.HealthReply, len(names))
+	for _, name := range names {
+		go func() {
+			h, err := n.peers.Health(ctx, name)
+			n.noteMesh(name, err)
+			replies <- h
+		}()
+	}
+	var out []*meshpb.HealthReply
+	for range names {
+		if h := <-replies; h != nil {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -303,7 +303,8 @@
 	}
 	// Those that miss their first report count too: in a cut the machines fall
 	// silent one after the other, and the first must not be returned alone.
-	if quiet > max(1, up/10) || up < 3 {
+	// And while a node is out of reach, a machine may be cut off with it.
+	if t.c.cut || quiet > max(1, up/10) || up < 3 {
 		return nil
 	}
 	return silent
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -47,7 +47,7 @@
 	// stateQuiet: after so long without an answer of the state service a node
 	// asks the others whether they have one.
 	stateQuiet  = 2 * time.Second
-	healthEvery = 500 * time.Millisecond
+	healthEvery = time.Second
 )
 
 func (n *Node) routes() http.Handler {
@@ -362,7 +362,8 @@
 	}
 	reply.Code, reply.Leader = http.StatusMisdirectedRequest, leader
 	works := func() bool { return n.meshWorks(leader) }
-	if n.relays.direct(n.clock.Now(), r.Machine, works) {
+	// Where the mesh does not reach the leader, the worker hardly will.
+	if works() && n.relays.direct(n.clock.Now(), r.Machine, works) {
 		return reply
 	}
 	return n.relayReport(ctx, leader, r)
