Keep machines for what teams are guaranteed

Cause: machines were returned when idle although the teams' guarantees were not used up, and guaranteed work then waited for machines to boot. Ruled out: image fetches (few late starts had one), leadership gaps (two in 900 s).

--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"badgerbay/internal/checkpoint"
@@ -191,7 +193,7 @@
 	w := &round.World{Now: now, WallMs: t.c.clock.Wall().UnixMilli(), No: no, Epoch: t.epoch, Fleet: t.fleet,
 		Types: t.c.types, Zones: p.Zones, Teams: t.teams, Coming: t.coming(now),
 		Blocked: func(o rental.Offer) bool { return t.desk.Blocked(now, o) },
-		Policy:  t.c.pol, Expect: t.expect, Spares: t.spares(),
+		Policy:  t.c.pol, Expect: t.expect, Spares: t.spares(), Typical: t.typical(),
 		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.desk.Pending()) < 4,
 		ValueBytes: p.State.ValueBytes(), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
 	for _, j := range t.jobs {
@@ -282,6 +284,15 @@
 	return out
 }
 
+// typical lists what the classes look like, as last seen.
+func (t *term) typical() []*checkpoint.Spec {
+	var out []*checkpoint.Spec
+	for _, class := range slices.Sorted(maps.Keys(t.lastSpec)) {
+		out = append(out, t.lastSpec[class])
+	}
+	return out
+}
+
 // silent picks a machine that has stopped reporting while nearly all others
 // go on. Returning it proves that its tasks are gone sooner than its lease
 // does. Many silent machines at once look like a cut, and are left alone.
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -39,5 +39,8 @@
 # tasks.
 spare_tasks = 3
 
+# The share of the teams' guarantees that is kept as machines, in use or idle.
+guarantee_share = 1.0
+
 # Whether tasks that may use spot machines go there first.
 prefer_spot = True
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -43,6 +43,7 @@
 	ResealEvery  time.Duration `star:"reseal_s" min:"5" max:"600"`
 	PreemptAfter time.Duration `star:"preempt_after_s" min:"0" max:"600"`
 	SpareTasks   int           `star:"spare_tasks" min:"0" max:"1000"`
+	Guarantee    float64       `star:"guarantee_share" min:"0" max:"2"`
 	PreferSpot   bool          `star:"prefer_spot"`
 }
 
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -33,6 +33,7 @@
 	Teams      map[unit.Team]config.Team
 	Expect     map[unit.Class]Expect
 	Spares     []*checkpoint.Spec // classes to keep room free for
+	Typical    []*checkpoint.Spec // what the classes look like
 	Coming     []Coming
 	Blocked    func(rental.Offer) bool
 	MayHire    bool
@@ -114,6 +115,7 @@
 	}
 	p.rent(short)
 	p.keepSpare()
+	p.keepGuaranteed()
 	return p.plan
 }
 
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -254,3 +254,41 @@
 	}
 	return sum
 }
+
+// keepGuaranteed sees to it that the machines hold what the teams are
+// guaranteed, or use beyond it: guaranteed work need not wait, and a machine
+// takes long to come up. It keeps idle machines that are needed for that, and
+// rents what is missing.
+func (p *planner) keepGuaranteed() {
+	wanted, have := 0.0, 0.0
+	for name, t := range p.w.Teams {
+		if t.CPUs > 0 {
+			wanted += max(t.CPUs*p.w.Policy.Guarantee, p.usage[name].CPUs)
+		}
+	}
+	for _, b := range append(append([]*bin(nil), p.bins...), p.come...) {
+		have += b.typ.Capacity.CPUs
+	}
+	for _, b := range p.bins {
+		if b.m.Busy() || p.plan.Keep[b.m.ID] {
+			continue
+		}
+		if have-b.typ.Capacity.CPUs < wanted {
+			p.plan.Keep[b.m.ID] = true
+		} else {
+			have -= b.typ.Capacity.CPUs
+		}
+	}
+	if have >= wanted || !p.w.MayHire || len(p.plan.Record.Hires) > 0 || len(p.w.Typical) == 0 {
+		return
+	}
+	spec := *p.w.Typical[0]
+	for _, s := range p.w.Typical {
+		if s.Spot && !spec.Spot {
+			spec = *s
+		}
+	}
+	spec.Priority = checkpoint.Prod // whatever it costs
+	n := int(math.Ceil((wanted - have) / spec.CPUs))
+	p.rent([]shortage{{job: &checkpoint.Job{Spec: spec, Accepted: p.w.WallMs}, n: n}})
+}
