Count spare room before lesser work takes it, and empty machines with few replicas

Cause: the room kept free for quick classes was counted after arrays had been given it, so a machine was rented in every round of a boot; and replicas that ended one by one left many machines with one or two.

--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -69,6 +69,11 @@
 	}
 	t.dirty, t.lastRound, t.nextPlan = false, now, now.Add(time.Second)
 	plan := round.Make(t.world(now, no))
+	if plan.Vacate != "" {
+		t.lastVacate = now
+		t.fleet.Machine(plan.Vacate).Vacating = true
+		t.c.log.Info("emptying", "machine", plan.Vacate, "tasks", len(plan.Stops), "epoch", t.epoch)
+	}
 	for _, s := range plan.Stops {
 		t.c.log.Debug("task stopped to make room", "job", s.Placement.Job.ID, "task", s.Placement.Task, "machine", s.Placement.Machine, "for", s.For, "epoch", t.epoch)
 		s.Placement.Drain = true
@@ -194,6 +199,7 @@
 		Types: t.c.types, Zones: p.Zones, Teams: t.teams, Coming: t.coming(now),
 		Blocked: func(o rental.Offer) bool { return t.desk.Blocked(now, o) },
 		Policy:  t.c.pol, Expect: t.expect, Spares: t.spares(), Typical: t.typical(),
+		MayVacate:  now.Sub(max(t.lastVacate, t.acquired)) >= t.c.pol.VacateEvery && !t.c.cut,
 		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.desk.Pending()) < 4,
 		ValueBytes: p.State.ValueBytes(), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
 	for _, j := range t.jobs {
@@ -246,7 +252,7 @@
 		if m.Releasing || len(out) == rental.MaxRelease {
 			continue
 		}
-		idle := !m.Busy() && (now.Sub(m.IdleSince) > t.idleLimit(m) && !keep[m.ID] || m.Drained)
+		idle := !m.Busy() && (now.Sub(m.IdleSince) > t.idleLimit(m) && !keep[m.ID] || m.Drained || m.Vacating)
 		if m.Shift == 0 {
 			idle = t.overdue(now, m)
 		}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -41,6 +41,7 @@
 	fold       *foldFlight
 	retryFold  unit.Instant
 	lastSeal   unit.Instant
+	lastVacate unit.Instant
 	listing    bool
 	nextList   unit.Instant
 	nextTypes  unit.Instant
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,7 @@
 	Gone       bool
 	Suspect    int // tasks that failed here in a row
 	Drained    bool
+	Vacating   bool // is being emptied, to be returned
 
 	places  map[placeKey]*checkpoint.Placement
 	strays  map[placeKey]Entry // of jobs not known, or a second copy of a task
@@ -181,7 +182,7 @@
 
 // Placeable tells whether the machine may get tasks.
 func (f *Fleet) Placeable(m *Machine) bool {
-	return m.Up && !m.Releasing && !m.Gone && !m.Failed && m.NoticeAt == 0 && !m.Drained &&
+	return m.Up && !m.Releasing && !m.Gone && !m.Failed && m.NoticeAt == 0 && !m.Drained && !m.Vacating &&
 		!m.strayRuns() && f.types[m.Type] != nil
 }
 
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -23,6 +23,10 @@
 idle_return_s = 120
 idle_boots = 2
 idle_least_s = 25
+
+# A machine whose few replicas fit on others is emptied and returned; at most
+# one every so often.
+vacate_every_s = 5
 hire_backoff_s = 15
 boot_factor = 4
 boot_floor_s = 60
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -36,6 +36,7 @@
 	IdleReturn   time.Duration `star:"idle_return_s" min:"5" max:"3600"`
 	IdleLeast    time.Duration `star:"idle_least_s" min:"1" max:"3600"`
 	IdleBoots    float64       `star:"idle_boots" min:"0" max:"100"`
+	VacateEvery  time.Duration `star:"vacate_every_s" min:"1" max:"3600"`
 	HireBackoff  time.Duration `star:"hire_backoff_s" min:"1" max:"600"`
 	BootFactor   float64       `star:"boot_factor" min:"1.5" max:"20"`
 	ReservedBoot time.Duration `star:"boot_floor_s" min:"1" max:"600"`
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -35,6 +35,7 @@
 	Spares     []*checkpoint.Spec // classes to keep room free for
 	Typical    []*checkpoint.Spec // what the classes look like
 	Coming     []Coming
+	MayVacate  bool
 	Blocked    func(rental.Offer) bool
 	MayHire    bool
 	Policy     *policy.Policy
@@ -58,6 +59,8 @@
 	Stops  []Stop
 	// Short counts the tasks that found no room.
 	Short int
+	// Vacate is a machine to be emptied, so that it can be returned.
+	Vacate unit.MachineID
 	// Keep are idle machines that hold the room kept free for a class.
 	Keep map[unit.MachineID]bool
 }
@@ -96,6 +99,9 @@
 	added   map[*checkpoint.Job]map[unit.Zone]int // tasks given a place in this plan
 	taken   map[*checkpoint.Placement]bool
 	full    bool
+
+	missing []shortage // of the room kept free
+	surplus float64    // CPUs beyond what the guarantees want as machines
 }
 
 // Make plans a round. It changes nothing it is given.
@@ -108,14 +114,26 @@
 	p.order()
 	p.makeBins()
 	var short []shortage
+	spared := false
 	for _, t := range p.queue {
+		if !spared && t.job.Spec.Priority < checkpoint.High {
+			// Before work that would yield to it takes the room.
+			spared = true
+			p.countSpare()
+		}
 		if n := p.placeJob(t); n > 0 && !p.full {
 			short = append(short, shortage{t.job, n})
 		}
 	}
+	if !spared {
+		p.countSpare()
+	}
 	p.rent(short)
-	p.keepSpare()
+	p.rentSpare()
 	p.keepGuaranteed()
+	if len(short) == 0 {
+		p.consolidate()
+	}
 	return p.plan
 }
 
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -213,10 +213,9 @@
 	return best
 }
 
-// keepSpare sees to the room kept free for classes that must start faster than
-// a machine comes up: it notes the idle machines that hold it, and rents one
-// when there is too little.
-func (p *planner) keepSpare() {
+// countSpare finds how much is missing of the room kept free for classes that
+// must start faster than a machine comes up, and which machines hold it.
+func (p *planner) countSpare() {
 	p.plan.Keep = map[unit.MachineID]bool{}
 	for _, s := range p.w.Spares {
 		missing := p.w.Policy.SpareTasks
@@ -237,12 +236,19 @@
 				missing -= fitCount(b.free, s.Need())
 			}
 		}
-		if missing > 0 && p.w.MayHire && len(p.plan.Record.Hires) == 0 {
-			p.rent([]shortage{{job: &checkpoint.Job{Spec: *s, Accepted: p.w.WallMs}, n: missing}})
+		if missing > 0 {
+			p.missing = append(p.missing, shortage{job: &checkpoint.Job{Spec: *s, Accepted: p.w.WallMs}, n: missing})
 		}
 	}
 }
 
+// rentSpare rents for the room that is missing, if nothing else was rented.
+func (p *planner) rentSpare() {
+	if len(p.missing) > 0 && len(p.plan.Record.Hires) == 0 {
+		p.rent(p.missing)
+	}
+}
+
 // below is what work of lower priority holds on the bin's machine, which a
 // task of the spec could have at once.
 func (p *planner) below(s *checkpoint.Spec, b *bin) checkpoint.Resources {
@@ -279,6 +285,7 @@
 			have -= b.typ.Capacity.CPUs
 		}
 	}
+	p.surplus = have - wanted
 	if have >= wanted || !p.w.MayHire || len(p.plan.Record.Hires) > 0 || len(p.w.Typical) == 0 {
 		return
 	}
@@ -292,3 +299,83 @@
 	n := int(math.Ceil((wanted - have) / spec.CPUs))
 	p.rent([]shortage{{job: &checkpoint.Job{Spec: spec, Accepted: p.w.WallMs}, n: n}})
 }
+
+// settled: a replica is moved only after so long, in seconds, since a start
+// that is soon undone is no start to its user.
+const settled = 40
+
+// consolidate picks a machine with few replicas that all fit on others which
+// hold their images. It is emptied, so that it can be returned: replicas end
+// one by one, and what is left would keep many machines for little.
+func (p *planner) consolidate() {
+	if !p.w.MayVacate || len(p.missing) > 0 || len(p.plan.Record.Starts) > 0 {
+		return
+	}
+	var best *bin
+	var bestLive []*checkpoint.Placement
+	for _, b := range p.bins {
+		live := b.m.Live()
+		if len(live) == 0 || best != nil && len(live) >= len(bestLive) || b.typ.Capacity.CPUs > p.surplus {
+			continue
+		}
+		if p.movable(live) && p.fitElsewhere(b, live) {
+			best, bestLive = b, live
+		}
+	}
+	if best == nil {
+		return
+	}
+	p.plan.Vacate = best.m.ID
+	for _, v := range bestLive {
+		p.plan.Stops = append(p.plan.Stops, Stop{Placement: v})
+	}
+}
+
+func (p *planner) movable(live []*checkpoint.Placement) bool {
+	for _, v := range live {
+		if !v.Job.Spec.Service || v.State != checkpoint.Running || v.Halting || p.w.Now.Sub(v.Ran).Seconds() < settled {
+			return false
+		}
+	}
+	return true
+}
+
+// fitElsewhere tells whether the placements of a bin fit on other machines in
+// use, with the room kept free still there after it.
+func (p *planner) fitElsewhere(from *bin, live []*checkpoint.Placement) bool {
+	free := make(map[*bin]checkpoint.Resources, len(p.bins))
+	for _, b := range p.bins {
+		if b != from && b.m.Busy() {
+			free[b] = b.free
+		}
+	}
+	for _, v := range live {
+		if !p.fitOne(v.Job, free) {
+			return false
+		}
+	}
+	for _, s := range p.w.Spares {
+		left := 0
+		for b, room := range free {
+			if s.Allows(b.typ.Name, b.zone, b.spot) {
+				left += fitCount(room.Plus(p.below(s, b)), s.Need())
+			}
+		}
+		if left < p.w.Policy.SpareTasks {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *planner) fitOne(j *checkpoint.Job, free map[*bin]checkpoint.Resources) bool {
+	for _, b := range p.bins {
+		room, ok := free[b]
+		if ok && room.Fits(j.Spec.Need()) && p.allowed(j, b) && b.m.HasImage(j.Spec.Image) &&
+			(p.zoneRoom(j, b.zone) > 0 || j.Spec.Tasks == 1) {
+			free[b] = room.Minus(j.Spec.Need())
+			return true
+		}
+	}
+	return false
+}
