Keep patient work off dear machines, and rent none for hopeless work

Cause: low-priority arrays that could wait minutes filled the ordinary machines rented for urgent ones and so kept them; work that would be late anyway was given ordinary machines too.

--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -41,7 +41,7 @@
 
 # Room kept free for classes that must start faster than a machine boots, in
 # tasks.
-spare_tasks = 3
+spare_tasks = 5
 
 # The share of the teams' guarantees that is kept as machines, in use or idle.
 guarantee_share = 1.0
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -101,6 +101,7 @@
 	full    bool
 
 	missing []shortage // of the room kept free
+	guards  bool       // some team has a guarantee
 	surplus float64    // CPUs beyond what the guarantees want as machines
 }
 
@@ -111,6 +112,9 @@
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
+	for _, t := range w.Teams {
+		p.guards = p.guards || t.CPUs > 0
+	}
 	p.order()
 	p.makeBins()
 	var short []shortage
@@ -348,7 +352,7 @@
 	need := j.Spec.Need()
 	var out []*bin
 	for _, b := range p.bins {
-		if b.free.Fits(need) && p.allowed(j, b) {
+		if b.free.Fits(need) && p.allowed(j, b) && p.mayUse(j, b) {
 			out = append(out, b)
 		}
 	}
@@ -430,7 +434,7 @@
 }
 
 func (p *planner) mayPreempt(j *checkpoint.Job) bool {
-	if j.Spec.Priority >= checkpoint.High || p.patience(j) < urgentBelow {
+	if j.Spec.Priority >= checkpoint.High || p.patience(j) < 2*urgentBelow {
 		return true
 	}
 	return p.w.Now.Sub(j.QueuedAt) >= p.w.Policy.PreemptAfter
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -110,7 +110,7 @@
 	filled := min(per, max(1, j.Queue.Len()))
 	cost := price / float64(filled) * (run + wait) / run
 	if left, has := p.timeLeft(j); has && run+wait > left {
-		cost *= 1 + (run+wait-left)/run
+		cost *= 2 + (run+wait-left)/run
 	}
 	// A second zone spreads the risk; the fewest machines first.
 	return cost * (1 + 0.001*float64(p.zoneMachines(z)))
@@ -147,6 +147,11 @@
 	cheap = 1.5
 	// unhurried is the patience, in seconds, of work that nothing is expected of.
 	unhurried = 60
+	// patient, in seconds: work with more patience than this does not use
+	// machines that only it would keep.
+	patient = 90
+	// hopeful: the part of its estimate that work may take if all goes well.
+	hopeful = 0.6
 	// runs: how much longer than its estimate work is expected to run.
 	runs = 1.3
 )
@@ -178,14 +183,35 @@
 // worth tells whether a machine of the kind may be rented for the job: work
 // that can wait is only given cheap ones.
 func (p *planner) worth(j *checkpoint.Job, t *fleet.Type, spot bool) bool {
+	if taskPrice(j, t, spot) <= cheap*p.cheapest(j) {
+		return true
+	}
+	start := startTime(j, t)
+	if p.patience(j)-start >= urgentBelow {
+		return false
+	}
+	// What would be late on a new machine anyway is not helped by a dear one.
+	left, has := p.timeLeft(j)
+	return !has || j.Spec.Priority >= checkpoint.High || left >= start+hopeful*j.Spec.EstimateS
+}
+
+// startTime is how long, in seconds, a new machine takes to run the job.
+func startTime(j *checkpoint.Job, t *fleet.Type) float64 {
 	start := t.Boot.Seconds()
 	if t.FetchGBps > 0 {
 		start += j.Spec.ImageGB / t.FetchGBps
 	}
-	if p.patience(j)-start < urgentBelow {
+	return start
+}
+
+// mayUse tells whether the job may start on a machine that is up. Work that
+// can wait stays off dear machines, unless a service or a guarantee keeps them
+// anyway: it would keep them from being returned.
+func (p *planner) mayUse(j *checkpoint.Job, b *bin) bool {
+	if j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.patience(j) < patient || p.guards {
 		return true
 	}
-	return taskPrice(j, t, spot) <= cheap*p.cheapest(j)
+	return b.m.Anchored() || taskPrice(j, b.typ, b.spot) <= cheap*p.cheapest(j)
 }
 
 func taskPrice(j *checkpoint.Job, t *fleet.Type, spot bool) float64 {
