Judge urgency by the fastest machine that may be had

Cause: slow kinds of machines became urgent before fast ones did, since each was judged by its own boot time.

--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -100,15 +100,16 @@
 	taken   map[*checkpoint.Placement]bool
 	full    bool
 
-	missing []shortage // of the room kept free
-	guards  bool       // some team has a guarantee
-	surplus float64    // CPUs beyond what the guarantees want as machines
+	missing []shortage                  // of the room kept free
+	starts  map[*checkpoint.Job]float64 // see soonest
+	guards  bool                        // some team has a guarantee
+	surplus float64                     // CPUs beyond what the guarantees want as machines
 }
 
 // Make plans a round. It changes nothing it is given.
 func Make(w *World) *Plan {
 	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
-		handled: map[*checkpoint.Job]int{}, added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
+		handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -186,10 +186,10 @@
 	if taskPrice(j, t, spot) <= cheap*p.cheapest(j) {
 		return true
 	}
-	start := startTime(j, t)
-	if p.patience(j)-start >= urgentBelow {
+	if p.patience(j)-p.soonest(j) >= urgentBelow {
 		return false
 	}
+	start := startTime(j, t)
 	// What would be late on a new machine anyway is not helped by a dear one.
 	left, has := p.timeLeft(j)
 	return !has || j.Spec.Priority >= checkpoint.High || left >= start+hopeful*j.Spec.EstimateS
@@ -204,6 +204,27 @@
 	return start
 }
 
+// soonest is how long the fastest new machine that may be had takes to run the
+// job. While that is soon enough, dear work waits for cheap room.
+func (p *planner) soonest(j *checkpoint.Job) float64 {
+	if s, ok := p.starts[j]; ok {
+		return s
+	}
+	best := math.Inf(1)
+	for _, t := range p.w.Types {
+		for _, z := range p.zonesOf(t) {
+			for _, spot := range []bool{true, false} {
+				o := rental.Offer{Type: t.Name, Zone: z, Spot: spot}
+				if j.Spec.Allows(t.Name, z, spot) && !p.w.Blocked(o) && t.Capacity.Fits(j.Spec.Need()) {
+					best = min(best, startTime(j, t))
+				}
+			}
+		}
+	}
+	p.starts[j] = best
+	return best
+}
+
 // mayUse tells whether the job may start on a machine that is up. Work that
 // can wait stays off dear machines, unless a service or a guarantee keeps them
 // anyway: it would keep them from being returned.
