Hold machines for a guarantee only while the team has work

Cause: the loopback test found six machines rented with nothing to do for a minute, held for a team without any job.

--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -202,7 +202,14 @@
 		MayVacate:  now.Sub(max(t.lastVacate, t.acquired)) >= t.c.pol.VacateEvery && !t.c.cut,
 		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.desk.Pending()) < 4,
 		ValueBytes: p.State.ValueBytes(), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
+	w.Active = func(team unit.Team) bool {
+		last, ok := t.lastWork[team]
+		return ok && now.Sub(last) <= t.c.pol.GuaranteeHold
+	}
 	for _, j := range t.jobs {
+		if len(j.Live) > 0 || len(j.Queue) > 0 {
+			t.lastWork[j.Spec.Team] = now
+		}
 		if len(j.Live) > 0 {
 			w.All = append(w.All, j)
 		}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -49,7 +49,8 @@
 	nextReload unit.Instant
 	waiting    map[unit.JobID][]waiter
 	expect     map[unit.Class]round.Expect
-	quick      []unit.Class // classes that must start faster than machines come up
+	lastWork   map[unit.Team]unit.Instant // when the team last had work
+	quick      []unit.Class               // classes that must start faster than machines come up
 	lastSpec   map[unit.Class]*checkpoint.Spec
 }
 
@@ -67,7 +68,7 @@
 		specSize: map[unit.JobID]int{}, reading: map[unit.JobID]bool{},
 		desk: rental.NewDesk(c.pol.HireBackoff), ring: round.NewRing(c.pol.RingSlots),
 		waiting: map[unit.JobID][]waiter{}, teams: map[unit.Team]config.Team{},
-		expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{},
+		lastWork: map[unit.Team]unit.Instant{}, expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{},
 		lastSeal: now, nextTypes: now.Add(time.Minute)}
 	w, p := c.set.Params.Workers, c.set.Params
 	t.fleet = fleet.New(fleet.Times{Report: w.ReportInterval(), Lease: w.Lease()}, epoch, now, t.job)
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -43,8 +43,10 @@
 # tasks.
 spare_tasks = 5
 
-# The share of the teams' guarantees that is kept as machines, in use or idle.
+# The share of the teams' guarantees that is kept as machines, in use or idle,
+# and for how long after a team's last work.
 guarantee_share = 1.0
+guarantee_hold_s = 30
 
 # Whether tasks that may use spot machines go there first.
 prefer_spot = True
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -27,25 +27,26 @@
 // Policy holds the operators' settings. The tags name the globals of the
 // script; durations are in seconds there.
 type Policy struct {
-	LeaseLife    time.Duration `star:"lease_s" min:"2" max:"60"`
-	LeaseRenew   time.Duration `star:"renew_s" min:"0.5" max:"20"`
-	LeaderPoll   time.Duration `star:"leader_poll_s" min:"0.1" max:"10"`
-	RoundGap     time.Duration `star:"round_gap_s" min:"0.005" max:"5"`
-	FoldAge      time.Duration `star:"fold_age_s" min:"0.05" max:"10"`
-	RingSlots    int           `star:"ring_slots" min:"4" max:"256"`
-	IdleReturn   time.Duration `star:"idle_return_s" min:"5" max:"3600"`
-	IdleLeast    time.Duration `star:"idle_least_s" min:"1" max:"3600"`
-	IdleBoots    float64       `star:"idle_boots" min:"0" max:"100"`
-	VacateEvery  time.Duration `star:"vacate_every_s" min:"1" max:"3600"`
-	HireBackoff  time.Duration `star:"hire_backoff_s" min:"1" max:"600"`
-	BootFactor   float64       `star:"boot_factor" min:"1.5" max:"20"`
-	ReservedBoot time.Duration `star:"boot_floor_s" min:"1" max:"600"`
-	SilentAfter  time.Duration `star:"silent_release_s" min:"5" max:"600"`
-	ResealEvery  time.Duration `star:"reseal_s" min:"5" max:"600"`
-	PreemptAfter time.Duration `star:"preempt_after_s" min:"0" max:"600"`
-	SpareTasks   int           `star:"spare_tasks" min:"0" max:"1000"`
-	Guarantee    float64       `star:"guarantee_share" min:"0" max:"2"`
-	PreferSpot   bool          `star:"prefer_spot"`
+	LeaseLife     time.Duration `star:"lease_s" min:"2" max:"60"`
+	LeaseRenew    time.Duration `star:"renew_s" min:"0.5" max:"20"`
+	LeaderPoll    time.Duration `star:"leader_poll_s" min:"0.1" max:"10"`
+	RoundGap      time.Duration `star:"round_gap_s" min:"0.005" max:"5"`
+	FoldAge       time.Duration `star:"fold_age_s" min:"0.05" max:"10"`
+	RingSlots     int           `star:"ring_slots" min:"4" max:"256"`
+	IdleReturn    time.Duration `star:"idle_return_s" min:"5" max:"3600"`
+	IdleLeast     time.Duration `star:"idle_least_s" min:"1" max:"3600"`
+	IdleBoots     float64       `star:"idle_boots" min:"0" max:"100"`
+	VacateEvery   time.Duration `star:"vacate_every_s" min:"1" max:"3600"`
+	HireBackoff   time.Duration `star:"hire_backoff_s" min:"1" max:"600"`
+	BootFactor    float64       `star:"boot_factor" min:"1.5" max:"20"`
+	ReservedBoot  time.Duration `star:"boot_floor_s" min:"1" max:"600"`
+	SilentAfter   time.Duration `star:"silent_release_s" min:"5" max:"600"`
+	ResealEvery   time.Duration `star:"reseal_s" min:"5" max:"600"`
+	PreemptAfter  time.Duration `star:"preempt_after_s" min:"0" max:"600"`
+	SpareTasks    int           `star:"spare_tasks" min:"0" max:"1000"`
+	Guarantee     float64       `star:"guarantee_share" min:"0" max:"2"`
+	GuaranteeHold time.Duration `star:"guarantee_hold_s" min:"0" max:"3600"`
+	PreferSpot    bool          `star:"prefer_spot"`
 }
 
 // Error names the setting that is wrong.
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -36,6 +36,7 @@
 	Typical    []*checkpoint.Spec // what the classes look like
 	Coming     []Coming
 	MayVacate  bool
+	Active     func(unit.Team) bool // has had work a moment ago
 	Blocked    func(rental.Offer) bool
 	MayHire    bool
 	Policy     *policy.Policy
--- a/internal/round/plan_test.go
+++ b/internal/round/plan_test.go
@@ -36,7 +36,7 @@
 	f.SetTypes(types)
 	s.w = &World{Now: start.Add(10 * time.Second), No: 5, Epoch: 10, Fleet: f, Types: types, Zones: []unit.Zone{"a", "b"},
 		Teams:   map[unit.Team]config.Team{"red": {CPUs: 4, CPUsMax: 8}, "blue": {CPUs: 8, CPUsMax: 8}},
-		Blocked: func(rental.Offer) bool { return false }, MayHire: true, Policy: pol, ValueBytes: 8192,
+		Blocked: func(rental.Offer) bool { return false }, Active: func(unit.Team) bool { return true }, MayHire: true, Policy: pol, ValueBytes: 8192,
 		SpecSize: func(*checkpoint.Job) int { return 300 }}
 	return s
 }
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -309,13 +309,13 @@
 }
 
 // keepGuaranteed sees to it that the machines hold what the teams are
-// guaranteed, or use beyond it: guaranteed work need not wait, and a machine
+// guaranteed, or use beyond it, as long as they have work: guaranteed work need not wait, and a machine
 // takes long to come up. It keeps idle machines that are needed for that, and
 // rents what is missing.
 func (p *planner) keepGuaranteed() {
 	wanted, have := 0.0, 0.0
 	for name, t := range p.w.Teams {
-		if t.CPUs > 0 {
+		if t.CPUs > 0 && p.w.Active(name) {
 			wanted += max(t.CPUs*p.w.Policy.Guarantee, p.usage[name].CPUs)
 		}
 	}
