Keep patient work off dear machines that come; test the relay, the cloud's client and their decoders

Cause: work that could wait counted on machines that were booting for urgent work, which then rented more, round after round.

--- /dev/null
+++ b/internal/controller/relay_test.go
@@ -0,0 +1,101 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/mesh"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// TestWorkersThatComeBackAreRelayed: a worker is sent to the leader first; one
+// that comes back soon could not reach it, and is relayed for a while.
+func TestWorkersThatComeBackAreRelayed(t *testing.T) {
+	d := &relayDesk{}
+	now := unit.Instant(time.Hour)
+	works := func() bool { return true }
+	if !d.direct(now, "host-1", works) {
+		t.Fatal("relayed at first sight")
+	}
+	if d.direct(now.Add(5*time.Second), "host-1", works) {
+		t.Error("sent to a leader that it could not reach")
+	}
+	if d.direct(now.Add(30*time.Second), "host-1", works) {
+		t.Error("not relayed for long enough")
+	}
+	if !d.direct(now.Add(60*time.Second), "host-1", works) {
+		t.Error("never sent to the leader again")
+	}
+	if d.direct(now.Add(62*time.Second), "host-1", works) {
+		t.Error("sent there twice in a row")
+	}
+}
+
+// TestBatchFitsAValue: however many workers are cut off, a batch stays below
+// the size of a value, and who does not fit goes with the next.
+func TestBatchFitsAValue(t *testing.T) {
+	b := newBench(t)
+	var queue []relayItem
+	for i := range 200 {
+		r := &fleet.Report{Machine: unit.MachineID(fmt.Sprintf("host-%06d", i)), Addr: "10.1.0.1:9000", Type: "m", Zone: "a", Shift: 1, Tally: 1}
+		for k := range unit.TaskIndex(8) {
+			r.Entries = append(r.Entries, fleet.Entry{Task: unit.TaskID{Job: "wk-000001", Index: 2 * k}, Attempt: unit.Attempt(100 + k), State: "running"})
+		}
+		queue = append(queue, relayItem{report: r, until: b.clock.now.Add(time.Second)})
+	}
+	batch, sent, rest := b.n.batch("id", queue)
+	data, err := json.Marshal(batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > b.n.set.Params.State.ValueBytes() || len(sent) == 0 || len(sent)+len(rest) != 200 {
+		t.Errorf("%d bytes, %d sent, %d left", len(data), len(sent), len(rest))
+	}
+	b.clock.now = b.clock.now.Add(time.Minute)
+	if _, sent, rest := b.n.batch("id", queue); len(sent)+len(rest) != 0 {
+		t.Error("reports that nobody waits for any more are sent")
+	}
+}
+
+// TestLeaderServesABatch: the answers to a cut-off node's batch are written
+// under the guard of the epoch.
+func TestLeaderServesABatch(t *testing.T) {
+	b := newBench(t)
+	b.lead(t)
+	holder := statestore.Txn{Writes: []statestore.Write{{Set: leadership.Key, Value: leadership.Holder{Node: "n0"}}}}
+	for v := unit.Version(0); v < 77; { // the epoch that this node leads with
+		var err error
+		if v, err = b.srv.State.Commit(holder); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := &fleet.Report{Machine: "host-000001", Addr: "10.1.0.1:9000", Type: "m", Zone: "a", Shift: 1, Tally: 1}
+	data, err := msgpack.Marshal(mesh.Batch{ID: "b-1", Reports: []mesh.Report{mesh.Pack(r)}, Asks: []mesh.Ask{{Job: "wk-000001"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data})
+	item, _ := b.srv.State.Get(mesh.DownPrefix + "n1")
+	a, err := mesh.DecodeAnswers(item.Value)
+	if err != nil || a.ID != "b-1" || len(a.Reports) != 1 || a.Reports[0].Code != 200 || a.Reports[0].Epoch != 77 {
+		t.Fatalf("answers %+v, %v", a, err)
+	}
+	if len(a.Asks) != 1 || a.Asks[0].Standing != "" {
+		t.Errorf("an unknown job was answered: %+v", a.Asks)
+	}
+	// Once another leads, nothing more is written.
+	b.srv.State.Commit(holder)
+	before := item.Stamp
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data})
+	if item, _ := b.srv.State.Get(mesh.DownPrefix + "n1"); item.Stamp != before {
+		t.Error("a deposed leader answered")
+	}
+}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -17,9 +17,10 @@
 
 // flight is a round whose record is being written.
 type flight struct {
-	record *round.Record
-	places []*checkpoint.Placement
-	jobs   map[unit.JobID]bool
+	hireFor unit.JobID
+	record  *round.Record
+	places  []*checkpoint.Placement
+	jobs    map[unit.JobID]bool
 }
 
 // foldFlight is a fold that is being written.
@@ -86,7 +87,7 @@
 // propose reserves what the round decides and writes its record.
 func (t *term) propose(now unit.Instant, plan *round.Plan) {
 	r := &plan.Record
-	f := &flight{record: r, jobs: map[unit.JobID]bool{}}
+	f := &flight{record: r, hireFor: plan.HireFor, jobs: map[unit.JobID]bool{}}
 	for _, s := range r.Starts {
 		j := t.jobs[s.Job]
 		f.jobs[s.Job] = true
@@ -166,7 +167,7 @@
 		j.Touch(now)
 	}
 	for _, h := range r.Hires {
-		t.c.log.Info("renting", "hire", h.Name, "type", h.Offer.Type, "zone", h.Offer.Zone, "spot", h.Offer.Spot, "count", h.Count, "round", r.No, "epoch", t.epoch)
+		t.c.log.Info("renting", "hire", h.Name, "type", h.Offer.Type, "zone", h.Offer.Zone, "spot", h.Offer.Spot, "count", h.Count, "job", f.hireFor, "round", r.No, "epoch", t.epoch)
 		t.desk.Hire(now, h.Name, h.Offer, h.Count, false)
 	}
 	if len(r.Releases) > 0 {
--- /dev/null
+++ b/internal/mesh/relay_test.go
@@ -0,0 +1,74 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/unit"
+)
+
+func task(i unit.TaskIndex) unit.TaskID { return unit.TaskID{Job: "wk-000001", Index: i} }
+
+// TestReportsSurviveTheRelay: what a worker said must reach the leader as it
+// was, and the leader's orders the worker in their sequence.
+func TestReportsSurviveTheRelay(t *testing.T) {
+	in := &fleet.Report{Machine: "host-1", Addr: "10.0.0.1:9", Type: "m", Zone: "a", Spot: true, Shift: 2, Tally: 7, Seal: 9,
+		Noticed: true, Notice: 12 * time.Second, Entries: []fleet.Entry{
+			{Task: task(0), Attempt: 3, State: "running"}, {Task: task(1), Attempt: 3, State: "running"},
+			{Task: task(2), Attempt: 4, State: "exited", Cause: fleet.CauseStopped, Stored: true}}}
+	data, err := msgpack.Marshal(Batch{ID: "x", Reports: []Report{Pack(in)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := DecodeBatch(data)
+	if err != nil || len(b.Reports) != 1 || len(b.Reports[0].Tasks) != 2 {
+		t.Fatalf("%+v, %v", b, err)
+	}
+	out, err := b.Reports[0].Unpack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(in, out); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestOrdersKeepTheirSequence(t *testing.T) {
+	in := []fleet.Order{{Verb: fleet.Halt, Task: task(0), Attempt: 1, Leave: 4 * time.Second}, {Verb: fleet.Halt, Task: task(1), Attempt: 1, Leave: 4 * time.Second},
+		{Verb: fleet.Launch, Task: task(0), Attempt: 2}, {Verb: fleet.Launch, Task: task(1), Attempt: 2}, {Verb: fleet.Reap, Task: task(5), Attempt: 1}}
+	a := Answer{Machine: "host-1", Code: 200, Epoch: 4, Orders: PackOrders(in)}
+	if len(a.Orders) != 3 {
+		t.Errorf("%d groups, want 3", len(a.Orders))
+	}
+	if diff := cmp.Diff(in, a.Unpack(), cmpopts.EquateEmpty()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func FuzzDecodeBatch(f *testing.F) {
+	data, err := msgpack.Marshal(Batch{ID: "x", Reports: []Report{Pack(&fleet.Report{Machine: "host-1", Shift: 1})}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0x81, 0xa1, 'r', 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if b, err := DecodeBatch(data); err == nil {
+			for i := range b.Reports {
+				if r, err := b.Reports[i].Unpack(); err == nil && len(r.Entries) > maxTasks {
+					t.Errorf("%d tasks", len(r.Entries))
+				}
+			}
+		}
+		if a, err := DecodeAnswers(data); err == nil {
+			for i := range a.Reports {
+				a.Reports[i].Unpack()
+			}
+		}
+	})
+}
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -60,6 +60,8 @@
 	Stops  []Stop
 	// Short counts the tasks that found no room.
 	Short int
+	// HireFor is the job that the rental was decided for, if it was one.
+	HireFor unit.JobID
 	// Vacate is a machine to be emptied, so that it can be returned.
 	Vacate unit.MachineID
 	// Keep are idle machines that hold the room kept free for a class.
@@ -425,7 +427,9 @@
 		if n == 0 {
 			break
 		}
-		if !j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+		// Work that can wait does not count on dear machines: they were rented
+		// for what can't.
+		if !j.Spec.Allows(b.typ.Name, b.zone, b.spot) || !p.guards && !p.worth(j, b.typ, b.spot) {
 			continue
 		}
 		k := min(n, fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone))
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -26,6 +26,7 @@
 		}
 		count := p.fill(short[i:], offer, typ)
 		if count > 0 {
+			p.plan.HireFor = s.job.ID
 			p.plan.Record.Hires = []Hire{{Name: HireName(p.w.Epoch, p.w.No, 0), Offer: offer, Count: count}}
 			return
 		}
