Give leadership up when the workers reach it only through others; keep terms apart

A commit's answer of an earlier term could be taken for that of the round under way, and a watch that had fallen behind reloaded a loaded term; both found by reading. One maker of MessagePack requests instead of two.

--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -18,6 +18,7 @@
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
 )
 
 const (
@@ -189,8 +190,7 @@
 		log, next, err := n.store.Watch(ctx, checkpoint.KeyPrefix, since, watchHold)
 		switch {
 		case errors.Is(err, statestore.ErrCompacted):
-			n.post(ctx, Loaded{Epoch: epoch, OK: false})
-			return
+			since = n.rescan(ctx, since)
 		case err == nil:
 			since = max(since, next)
 			for _, c := range log {
@@ -205,6 +205,19 @@
 	}
 }
 
+// rescan lists all jobs, when the changes since the last look are not kept any
+// more, and returns the revision to go on from.
+func (n *Node) rescan(ctx context.Context, since unit.Version) unit.Version {
+	items, rev, err := n.store.List(ctx, checkpoint.KeyPrefix)
+	if n.note(err) != nil {
+		return since
+	}
+	for _, it := range items {
+		n.post(ctx, Noticed{Job: unit.JobID(it.Key[len(checkpoint.KeyPrefix):]), Stamp: it.Stamp})
+	}
+	return rev
+}
+
 // leadsSince tells whether this node still leads in the term that began with
 // the epoch, or has done so a moment ago; raises of the seal keep the term.
 func (n *Node) leadsSince(epoch unit.Epoch) bool {
@@ -290,7 +303,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Content-Type", contentType)
+	req.Header.Set("Content-Type", wire.ContentType)
 	resp, err := n.worker.Do(req)
 	if err != nil {
 		return nil, err
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -352,7 +352,7 @@
 	for i := range b.Reports {
 		if r, err := b.Reports[i].Unpack(); err == nil {
 			tickets[i] = make(chan ReplyReport, 1)
-			if !n.offer(Reported{Ticket: tickets[i], Report: r}) {
+			if !n.offer(Reported{Ticket: tickets[i], Report: r, Relayed: true}) {
 				tickets[i] = nil
 			}
 		}
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -12,6 +12,7 @@
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/mesh"
+	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 )
@@ -99,3 +100,45 @@
 		t.Error("a deposed leader answered")
 	}
 }
+
+// TestPoorlyPlacedLeaderGivesUp: a leader that hears of nearly all workers only
+// through others leaves leadership to them, but not at the first report.
+func TestPoorlyPlacedLeaderGivesUp(t *testing.T) {
+	var r reach
+	now := unit.Instant(time.Hour)
+	for range 20 {
+		for i := range 5 {
+			r.note(now, unit.MachineID(fmt.Sprintf("host-%d", i)), true)
+		}
+		if poor := r.poor(now); poor != (now.Sub(unit.Instant(time.Hour)) >= reachPatience) {
+			t.Fatalf("poor %v after %v", poor, now.Sub(unit.Instant(time.Hour)))
+		}
+		now = now.Add(time.Second)
+	}
+	for i := range 3 {
+		r.note(now, unit.MachineID(fmt.Sprintf("host-%d", i)), false)
+	}
+	if r.poor(now) {
+		t.Error("gives up although many workers reach it")
+	}
+}
+
+// TestAnswersOfAnEarlierTerm: a node that leads again must not take the answer
+// to a write of its last term for that of the round under way.
+func TestAnswersOfAnEarlierTerm(t *testing.T) {
+	b := newBench(t)
+	c := b.n.core
+	c.Step(b.clock.now, Lead{leadership.KeyRead{OK: true}})
+	c.Step(b.clock.now, Lead{leadership.Granted{OK: true, Tenure: 1, Sent: b.clock.now}})
+	c.Step(b.clock.now, Lead{leadership.Acquired{Outcome: leadership.OK, Epoch: 77}})
+	c.Step(b.clock.now, Loaded{Epoch: 77, OK: true})
+	c.term.flight = &flight{record: &round.Record{No: 1}}
+	c.Step(b.clock.now, Committed{Kind: CommitRound, Epoch: 50, Outcome: leadership.OK, Version: 60})
+	if c.term.flight == nil {
+		t.Error("the round under way was taken for stored")
+	}
+	c.Step(b.clock.now, Committed{Kind: CommitRound, Epoch: 50, Outcome: leadership.Gone})
+	if c.term == nil {
+		t.Error("deposed by the answer to a write of an earlier term")
+	}
+}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -132,6 +132,10 @@
 }
 
 func (t *term) committed(now unit.Instant, in Committed) {
+	if in.Epoch != t.epoch {
+		// Of an earlier term of this node. Its records were read anew.
+		return
+	}
 	if in.Outcome == leadership.Gone {
 		t.c.leadStep(now, leadership.Deposed{})
 		return
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -21,10 +21,10 @@
 	"badgerbay/internal/mesh/meshpb"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
 )
 
 const (
-	contentType = "application/msgpack"
 	// askTimeout bounds the time a poll waits for the leader, so that enough
 	// of the user's two seconds is left to read the record instead.
 	askTimeout      = 500 * time.Millisecond
@@ -318,7 +318,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Type", wire.ContentType)
 	w.WriteHeader(a.Code)
 	w.Write(body)
 }
@@ -389,7 +389,7 @@
 	}
 	n.met.Reports.WithLabelValues(strconv.Itoa(reply.Code)).Inc()
 	if body != nil {
-		w.Header().Set("Content-Type", contentType)
+		w.Header().Set("Content-Type", wire.ContentType)
 	}
 	w.WriteHeader(reply.Code)
 	w.Write(body)
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -48,6 +48,7 @@
 	nextSweep  unit.Instant
 	nextReload unit.Instant
 	waiting    map[unit.JobID][]waiter
+	reach      reach
 	expect     map[unit.Class]round.Expect
 	lastWork   map[unit.Team]unit.Instant // when the team last had work
 	quick      []unit.Class               // classes that must start faster than machines come up
@@ -144,6 +145,9 @@
 	if !t.c.lead.Entitled(now) {
 		return
 	}
+	if t.cannotLead(now) {
+		return
+	}
 	t.reconciled(now)
 	t.maybeSeal(now)
 	t.maybeFold(now)
@@ -154,8 +158,8 @@
 
 // load takes in all records, as the successor of whoever led before.
 func (t *term) load(now unit.Instant, in Loaded) {
-	if in.Epoch != t.epoch && t.loaded {
-		return
+	if in.Epoch != t.epoch || t.loaded {
+		return // of an earlier term
 	}
 	if !in.OK {
 		t.c.emit(LoadAll{Epoch: t.epoch})
@@ -294,6 +298,7 @@
 // reported takes in a report and answers it.
 func (t *term) reported(now unit.Instant, in Reported) {
 	reply := ReplyReport{Ticket: in.Ticket, Code: http.StatusOK, Epoch: t.epoch, Until: t.c.lead.EntitledUntil()}
+	t.reach.note(now, in.Report.Machine, in.Relayed)
 	switch {
 	case in.Report.Seal > t.epoch:
 		// Somebody else was elected, or a raise of ours came through late.
@@ -442,7 +447,7 @@
 
 func (t *term) jobRead(now unit.Instant, in JobRead) {
 	delete(t.reading, in.Job)
-	if !in.OK || in.Item.Stamp == 0 {
+	if !t.loaded || !in.OK || in.Item.Stamp == 0 {
 		return
 	}
 	j := t.jobs[in.Job]
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -3,7 +3,6 @@
 package rental
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -114,19 +113,10 @@
 }
 
 func (c *Cloud) call(ctx context.Context, method, path string, body, out any) error {
-	var rd io.Reader
-	if body != nil {
-		data, err := msgpack.Marshal(body)
-		if err != nil {
-			return fmt.Errorf("%w: encoding: %v", ErrMalformed, err)
-		}
-		rd = bytes.NewReader(data)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	req, err := wire.NewRequest(ctx, method, c.base+path, body)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrMalformed, err)
 	}
-	req.Header.Set("Content-Type", "application/msgpack")
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrUncertain, err)
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -4,7 +4,6 @@
 package statestore
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -119,9 +118,9 @@
 func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, body any) (int, *reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := newRequest(ctx, method, c.base+path, body)
+	req, err := wire.NewRequest(ctx, method, c.base+path, body)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, fmt.Errorf("%w: %v", ErrMalformed, err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -135,23 +134,6 @@
 	return sortAnswer(resp.StatusCode, data)
 }
 
-func newRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
-	var rd io.Reader
-	if body != nil {
-		data, err := msgpack.Marshal(body)
-		if err != nil {
-			return nil, fmt.Errorf("%w: encoding: %v", ErrMalformed, err)
-		}
-		rd = bytes.NewReader(data)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, url, rd)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
-	}
-	req.Header.Set("Content-Type", "application/msgpack")
-	return req, nil
-}
-
 // sortAnswer turns a status and a body into a reply or an error. A body that
 // can't be read leaves a successful request uncertain, never failed.
 func sortAnswer(status int, data []byte) (int, *reply, error) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,13 +4,38 @@
 package wire
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"io"
 	"math"
+	"net/http"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
+// NewRequest makes a request whose body, if any, is MessagePack.
+func NewRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
+	var rd io.Reader
+	if body != nil {
+		data, err := msgpack.Marshal(body)
+		if err != nil {
+			return nil, fmt.Errorf("encoding: %w", err)
+		}
+		rd = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, rd)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", ContentType)
+	return req, nil
+}
+
+// ContentType is the media type of every body.
+const ContentType = "application/msgpack"
+
 // maxElements bounds a list whatever it claims.
 const maxElements = 1 << 17
 
