--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -229,7 +229,7 @@
 func (t *term) coming(now unit.Instant) []round.Coming {
 	var out []round.Coming
 	for _, m := range t.fleet.Machines() {
-		if m.Type != "" && m.Shift == 0 && !m.Releasing && !m.Failed && !t.overdue(now, m) {
+		if m.Type != "" && m.Shift == 0 && !m.Releasing && !m.Failed && !t.late(now, m) {
 			out = append(out, round.Coming{Offer: rental.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}, Born: m.Born})
 		}
 	}
@@ -249,6 +249,18 @@
 	return limit
 }
 
+// late tells whether a machine should have come up by now. It may yet, but
+// work does not wait for it any longer: others are rented for it. Guards
+// against an incident in which services waited 80 s for machines that never
+// came.
+func (t *term) late(now unit.Instant, m *fleet.Machine) bool {
+	typ := t.fleet.Type(m.Type)
+	return typ != nil && now.Sub(m.Born) > time.Duration(t.c.pol.BootLate*float64(typ.Boot))+lateMargin
+}
+
+// lateMargin is added to the time to boot for the first report.
+const lateMargin = 2 * time.Second
+
 // overdue tells whether a machine has taken so long to boot that it is not
 // counted on any more.
 func (t *term) overdue(now unit.Instant, m *fleet.Machine) bool {
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -14,6 +14,10 @@
 ring_slots = 32
 fold_age_s = 0.5
 
+# A machine that takes more than so many times its usual boot time is not waited
+# for any longer.
+boot_late = 1.6
+
 # Machines: returned after this long without a task, but no later than so many
 # times what a machine of the type takes to boot, and no sooner than the least;
 # how long a kind that the
