Weigh lateness and shared need when choosing what to rent

Cause: each chose a machine for itself alone, so the slowest kind, small and cheap, was rented for all of them, and some of those never came up. Ruled out: capacity, the call rate of the cloud. The choice now counts all that a class needs, and how late it would be.

--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -105,6 +105,7 @@
 
 	missing []shortage                  // of the room kept free
 	starts  map[*checkpoint.Job]float64 // see soonest
+	demand  map[unit.Class]int          // tasks that found no room
 	guards  bool                        // some team has a guarantee
 	surplus float64                     // CPUs beyond what the guarantees want as machines
 }
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -13,12 +13,19 @@
 // is weighed for tasks whose own run time is not known.
 const serviceHorizon = 300
 
+// lateUnit: being late by so many seconds counts as much as the price.
+const lateUnit = 30
+
 // rent decides on at most one rental: the best offer for the first job that
 // found no room, as many machines as that job and those behind it fill.
 func (p *planner) rent(short []shortage) {
 	if !p.w.MayHire {
 		return
 	}
+	p.demand = map[unit.Class]int{}
+	for _, s := range short {
+		p.demand[s.job.Spec.Class] += s.n
+	}
 	for i, s := range short {
 		offer, typ := p.bestOffer(s.job)
 		if typ == nil {
@@ -108,8 +115,12 @@
 		wait += j.Spec.ImageGB / t.FetchGBps
 	}
 	// A machine that the job fills only in part is paid for in whole.
-	filled := min(per, max(1, j.Queue.Len()))
+	filled := min(per, max(1, p.demand[j.Spec.Class]))
 	cost := price / float64(filled) * (run + wait) / run
+	if within := p.w.Expect[j.Spec.Class].Start.Seconds(); within > 0 && wait > within {
+		// It will be late wherever it goes: the sooner the better.
+		cost *= 1 + (wait-within)/lateUnit
+	}
 	if left, has := p.timeLeft(j); has && run+wait > left {
 		cost *= 2 + (run+wait-left)/run
 	}
