--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -48,7 +48,9 @@
 	loss, dup float64
 	cut       map[int]bool // nodes that the workers can't reach
 	starts    int
-	crashAt   int // the leader crashes before this many of its next effects
+	hung      map[unit.MachineID]unit.Instant // machines that hang, and until when
+	late      float64                         // the chance that a report comes once more, late
+	crashAt   int                             // the leader crashes before this many of its next effects
 }
 
 type simNode struct {
@@ -115,7 +117,8 @@
 	}
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: unit.Instant(time.Hour), set: simSettings(), pol: pol,
 		state: standin.NewState(), cloud: standin.NewCloud(types, capacity), jobs: map[unit.JobID]*simJob{},
-		on: map[unit.TaskID]unit.MachineID{}, zones: map[unit.TaskID]unit.Zone{}, cut: map[int]bool{}}
+		on: map[unit.TaskID]unit.MachineID{}, zones: map[unit.TaskID]unit.Zone{}, cut: map[int]bool{},
+		hung: map[unit.MachineID]unit.Instant{}}
 	s.cloud.Boot = func() time.Duration { return time.Duration(2+s.rng.IntN(10)) * time.Second }
 	for i := range 3 {
 		s.nodes = append(s.nodes, &simNode{index: i, name: fmt.Sprintf("n%d", i)})
@@ -344,7 +347,13 @@
 }
 
 func (s *sim) do(n *simNode, life int, e Do) {
-	exec := func() *fleet.Report {
+	var exec func() *fleet.Report
+	exec = func() *fleet.Report {
+		if until := s.hung[e.Machine]; s.now.Before(until) {
+			// Held by the machine, and executed when it goes on.
+			s.after(until.Sub(s.now)+time.Millisecond, func() { exec() })
+			return nil
+		}
 		if h := s.cloud.Machines[e.Machine]; h != nil && h.Worker != nil && !h.Failed {
 			h.Worker.Advance(s.now)
 			return h.Worker.Do(s.now, e.Epoch, e.Shift, e.Orders)
@@ -353,7 +362,7 @@
 	}
 	s.after(s.latency(), func() {
 		var r *fleet.Report
-		if !s.sent(func() { r = exec() }) {
+		if !s.sent(func() { r = exec() }) || r == nil {
 			r = nil
 			s.after(3*time.Second, func() { s.reply(n, life, DoDone{Machine: e.Machine, Epoch: e.Epoch}) })
 			return
@@ -439,7 +448,12 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.cloud.Machines)) {
 		h := s.cloud.Machines[id]
-		if h.Worker != nil && !h.Failed {
+		if h.Worker == nil || h.Failed {
+			continue
+		}
+		if s.now.Before(s.hung[id]) {
+			h.Worker.Expire(s.now)
+		} else {
 			h.Worker.Advance(s.now)
 		}
 	}
@@ -462,6 +476,10 @@
 	if h == nil || h.Worker != w || h.Failed {
 		return
 	}
+	if until := s.hung[w.ID]; s.now.Before(until) {
+		s.after(until.Sub(s.now)+time.Millisecond, func() { s.reportLoop(w, node) })
+		return
+	}
 	w.Advance(s.now)
 	n, sent, shift, r := s.nodes[node], s.now, w.Shift, w.Report()
 	next := time.Duration(2250+s.rng.IntN(1500)) * time.Millisecond
@@ -472,6 +490,14 @@
 			s.after(d, func() { s.reportLoop(w, node) })
 		}
 	}
+	if s.rng.Float64() < s.late {
+		// A copy that was held on its way; nobody waits for its answer.
+		s.after(time.Duration(1+s.rng.IntN(40))*time.Second, func() {
+			if n.alive {
+				s.step(n, Reported{Report: r, Ticket: func(ReplyReport) {}})
+			}
+		})
+	}
 	s.after(4*time.Second, func() { follow((node+1)%len(s.nodes), time.Second) })
 	if !n.alive || s.cut[node] || s.lost() {
 		return
@@ -482,7 +508,7 @@
 		}
 		s.step(n, Reported{Report: r, Ticket: func(a ReplyReport) {
 			s.after(s.latency(), func() {
-				if s.cut[node] || answered {
+				if s.cut[node] || answered || s.now.Before(s.hung[w.ID]) {
 					return
 				}
 				switch {
@@ -652,6 +678,7 @@
 
 // finish lets all faults end and checks that every job comes to its end.
 func (s *sim) finish() {
+	s.late = 0
 	s.loss, s.dup, s.state.Down, s.cloud.Down = 0, 0, false, false
 	s.cut = map[int]bool{}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
@@ -723,7 +750,13 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			s := newSim(t, 100+seed)
-			s.loss, s.dup = 0.04, 0.1
+			s.loss, s.dup, s.late = 0.04, 0.1, 0.05
+			s.every(19*time.Second, func() {
+				ids := slices.Sorted(maps.Keys(s.cloud.Machines))
+				if len(ids) > 0 && s.loss > 0 {
+					s.hung[ids[s.rng.IntN(len(ids))]] = s.now.Add(time.Duration(5+s.rng.IntN(35)) * time.Second)
+				}
+			})
 			s.every(time.Duration(7+s.rng.IntN(20))*time.Second, func() {
 				n := s.nodes[s.rng.IntN(3)]
 				if s.loss > 0 && n.alive {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -51,13 +51,19 @@
 	exited   fleet.State = "exited"
 )
 
-// Advance lets time pass on the machine.
-func (w *Worker) Advance(now unit.Instant) {
+// Expire ends the shift if its lease has run out. It holds for a machine that
+// hangs as well: its tasks never go on after that.
+func (w *Worker) Expire(now unit.Instant) {
 	if now.Sub(w.lastSent) > w.Lease {
 		w.Clear(now)
 		w.Shift++
 		w.lastSent = now
 	}
+}
+
+// Advance lets time pass on the machine.
+func (w *Worker) Advance(now unit.Instant) {
+	w.Expire(now)
 	for id, attempts := range w.Tasks {
 		for _, t := range attempts {
 			if t.State == fetching && !now.Before(t.Ready) {
