--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -104,6 +104,7 @@
 	full    bool
 
 	missing []shortage                  // of the room kept free
+	placed  map[*bin]int                // replicas given a place in this plan
 	starts  map[*checkpoint.Job]float64 // see soonest
 	demand  map[unit.Class]int          // tasks that found no room
 	guards  bool                        // some team has a guarantee
@@ -113,7 +114,7 @@
 // Make plans a round. It changes nothing it is given.
 func Make(w *World) *Plan {
 	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
-		handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
+		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
@@ -377,11 +378,28 @@
 		if ax, ay := x.m.Anchored(), y.m.Anchored(); ax != ay {
 			return ax
 		}
+		// Replicas go where fewest are: a machine that dies takes few of them.
+		if j.Spec.Service {
+			if rx, ry := p.replicas(x), p.replicas(y); rx != ry {
+				return rx < ry
+			}
+		}
 		return x.free.CPUs < y.free.CPUs
 	})
 	return out
 }
 
+// replicas counts the service tasks on the bin's machine, or about to be there.
+func (p *planner) replicas(b *bin) int {
+	n := p.placed[b]
+	for _, v := range b.m.Live() {
+		if v.Job.Spec.Service {
+			n++
+		}
+	}
+	return n
+}
+
 // start adds a group to the record, as far as the record has room, and
 // returns how many tasks it took.
 func (p *planner) start(j *checkpoint.Job, b *bin, tasks []unit.TaskIndex) int {
@@ -402,6 +420,9 @@
 
 func (p *planner) take(j *checkpoint.Job, b *bin, n int) {
 	b.free = b.free.Minus(j.Spec.Need().Times(n))
+	if j.Spec.Service {
+		p.placed[b] += n
+	}
 	p.count(j, b, n)
 }
 
