Keep the machine types in the state service; send workers to a new leader first

Cause: after a leader that was cut off from the workers had given leadership up, the workers stayed relayed to whoever led, so the next leader took itself for poorly placed and gave up too. And while the cloud was down, a node that started could not validate submissions.

--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -371,6 +371,49 @@
 	types, err := n.cloud.Flavors(ctx)
 	if err != nil {
 		n.log.Info("machine types can't be read", "err", err)
+		types = n.keptFlavors(ctx)
+	} else {
+		n.keepFlavors(ctx, types)
 	}
 	n.post(ctx, FlavorsDone{Types: types})
 }
+
+// flavorsKey keeps the machine types, so that a node that starts while the
+// cloud is down can still tell what may run.
+const flavorsKey = "flavors"
+
+// keptFlavors reads the machine types that a leader has kept, or nil. A node
+// that knows them from the cloud keeps what it knows.
+func (n *Node) keptFlavors(ctx context.Context) []*fleet.Type {
+	if n.view.Load().types != nil {
+		return nil
+	}
+	item, err := n.store.Get(ctx, flavorsKey)
+	if n.note(err) != nil || item.Stamp == 0 {
+		return nil
+	}
+	types, err := rental.DecodeTypes(item.Value)
+	if err != nil {
+		n.log.Warn("kept machine types can't be read", "err", err)
+		return nil
+	}
+	n.log.Info("machine types taken from those kept", "types", len(types))
+	return types
+}
+
+// keepFlavors stores the machine types once a term, if this node leads.
+func (n *Node) keepFlavors(ctx context.Context, types []*fleet.Type) {
+	epoch := n.view.Load().epoch
+	value := rental.EncodeTypes(types)
+	if epoch == 0 || n.kept.Load() || statestore.JSONSize(value) > n.set.Params.State.ValueBytes() ||
+		!n.budget.TakeWrites(n.clock.Now(), statestore.UseFold, 1) {
+		return
+	}
+	_, err := n.store.Commit(ctx, statestore.Txn{
+		Guards: []statestore.Guard{{Key: leadership.Key, Stamp: unit.Version(epoch)}},
+		Writes: []statestore.Write{{Set: flavorsKey, Value: value}},
+	})
+	if n.note(err) == nil {
+		n.kept.Store(true)
+	}
+}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -52,6 +52,7 @@
 	view   atomic.Pointer[view]
 	health health
 
+	kept       atomic.Bool // the machine types are stored
 	relays     relayDesk
 	relayOut   chan relayItem
 	meshFailed sync.Map // peer to the Instant of its last failure
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -43,14 +43,15 @@
 }
 
 type relayed struct {
-	sent  unit.Instant // to the leader
-	since unit.Instant // relayed since; 0: not
-	late  bool         // the leader could not be reached over the mesh either
+	leader string
+	sent   unit.Instant // to the leader
+	since  unit.Instant // relayed since; 0: not
+	late   bool         // the leader could not be reached over the mesh either
 }
 
 // direct tells whether a worker should be sent to the leader rather than be
 // relayed. meshWorks tells whether the leader is reached over the mesh.
-func (d *relayDesk) direct(now unit.Instant, id unit.MachineID, meshWorks func() bool) bool {
+func (d *relayDesk) direct(now unit.Instant, id unit.MachineID, leader string, meshWorks func() bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.workers == nil {
@@ -61,8 +62,9 @@
 	}
 	w := d.workers[id]
 	switch {
-	case w == nil:
-		d.workers[id] = &relayed{sent: now}
+	case w == nil, w.leader != leader:
+		// Where the last leader was out of reach, the next may not be.
+		d.workers[id] = &relayed{leader: leader, sent: now}
 		return true
 	case w.since != 0:
 		if now.Sub(w.since) < tryLeader || w.late && !meshWorks() {
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -23,21 +23,24 @@
 	d := &relayDesk{}
 	now := unit.Instant(time.Hour)
 	works := func() bool { return true }
-	if !d.direct(now, "host-1", works) {
+	if !d.direct(now, "host-1", "n1", works) {
 		t.Fatal("relayed at first sight")
 	}
-	if d.direct(now.Add(5*time.Second), "host-1", works) {
+	if d.direct(now.Add(5*time.Second), "host-1", "n1", works) {
 		t.Error("sent to a leader that it could not reach")
 	}
-	if d.direct(now.Add(30*time.Second), "host-1", works) {
+	if d.direct(now.Add(30*time.Second), "host-1", "n1", works) {
 		t.Error("not relayed for long enough")
 	}
-	if !d.direct(now.Add(60*time.Second), "host-1", works) {
+	if !d.direct(now.Add(60*time.Second), "host-1", "n1", works) {
 		t.Error("never sent to the leader again")
 	}
-	if d.direct(now.Add(62*time.Second), "host-1", works) {
+	if d.direct(now.Add(62*time.Second), "host-1", "n1", works) {
 		t.Error("sent there twice in a row")
 	}
+	if !d.direct(now.Add(63*time.Second), "host-1", "n2", works) {
+		t.Error("relayed to a new leader that may be in reach")
+	}
 }
 
 // TestBatchFitsAValue: however many workers are cut off, a batch stays below
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -242,7 +242,7 @@
 }
 
 func (t *term) bootLimit(m *fleet.Machine) time.Duration {
-	limit := t.c.pol.ReservedBoot
+	limit := t.c.pol.BootFloor
 	if typ := t.fleet.Type(m.Type); typ != nil {
 		limit = max(limit, time.Duration(t.c.pol.BootFactor*float64(typ.Boot)))
 	}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -363,7 +363,7 @@
 	reply.Code, reply.Leader = http.StatusMisdirectedRequest, leader
 	works := func() bool { return n.meshWorks(leader) }
 	// Where the mesh does not reach the leader, the worker hardly will.
-	if works() && n.relays.direct(n.clock.Now(), r.Machine, works) {
+	if works() && n.relays.direct(n.clock.Now(), r.Machine, leader, works) {
 		return reply
 	}
 	return n.relayReport(ctx, leader, r)
--- a/internal/controller/server_test.go
+++ b/internal/controller/server_test.go
@@ -19,6 +19,7 @@
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/policy"
+	"badgerbay/internal/rental"
 	"badgerbay/internal/standin"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
@@ -237,3 +238,31 @@
 		t.Errorf("metrics: %d", w.Code)
 	}
 }
+
+// cloudDown is a cloud that answers nothing but trouble.
+type cloudDown struct{}
+
+func (cloudDown) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: 503, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+// TestMachineTypesOutliveTheCloud: a node that starts while the cloud is down
+// takes the machine types that a leader has kept, and can validate.
+func TestMachineTypesOutliveTheCloud(t *testing.T) {
+	b := newBench(t)
+	holder := statestore.Txn{Writes: []statestore.Write{{Set: leadership.Key, Value: leadership.Holder{Node: "n0"}}}}
+	epoch, err := b.srv.State.Commit(holder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	types := b.n.core.types
+	b.n.view.Store(&view{leader: "n0", types: types, epoch: unit.Epoch(epoch)})
+	b.n.keepFlavors(context.Background(), types)
+	b.n.cloud = rental.NewCloud("10.2.0.2:1", cloudDown{})
+	b.n.view.Store(&view{})
+	b.n.flavors(context.Background())
+	in, ok := (<-b.n.inbox).(FlavorsDone)
+	if !ok || len(in.Types) != 1 || in.Types[0].Name != "m" || !in.Types[0].Capacity.Fits(types[0].Capacity) {
+		t.Errorf("machine types %+v", in.Types)
+	}
+}
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -120,6 +120,7 @@
 		on: map[unit.TaskID]unit.MachineID{}, zones: map[unit.TaskID]unit.Zone{}, cut: map[int]bool{},
 		hung: map[unit.MachineID]unit.Instant{}}
 	s.cloud.Boot = func() time.Duration { return time.Duration(2+s.rng.IntN(10)) * time.Second }
+	s.state.ValueBytes, s.state.TxnOps = s.set.Params.State.ValueBytes(), s.set.Params.State.TxnOps
 	for i := range 3 {
 		s.nodes = append(s.nodes, &simNode{index: i, name: fmt.Sprintf("n%d", i)})
 		s.start(s.nodes[i])
@@ -424,6 +425,9 @@
 
 // world lets time pass outside the nodes.
 func (s *sim) world() {
+	if s.state.Breach != "" {
+		s.t.Fatalf("beyond the limits of the state service: %s", s.state.Breach)
+	}
 	s.state.Expire(s.now)
 	lease := s.set.Params.Workers.Lease()
 	for _, w := range s.cloud.Up(s.now, func(id unit.MachineID, h *standin.Host) *standin.Worker {
@@ -704,6 +708,32 @@
 	s.finish()
 }
 
+// TestHugeJob plays a job of 100,000 tasks that end in any order: its records
+// stay within the limits of the state service, and it gets done bit by bit.
+func TestHugeJob(t *testing.T) {
+	s := newSim(t, 5)
+	huge := batch
+	huge.Tasks, huge.CPUs, huge.MemoryGB = 100_000, 0.25, 0.25
+	id := s.submit(1, huge, 3*time.Second)
+	s.submit(2, batch, 12*time.Second)
+	s.run(60 * time.Second)
+	l := s.leader()
+	if l == nil {
+		t.Fatal("nobody leads")
+	}
+	j := l.core.term.jobs[id]
+	if j.Done.Len() < 200 {
+		t.Errorf("%d tasks done in a minute", j.Done.Len())
+	}
+	s.crash(l, time.Second)
+	s.run(20 * time.Second)
+	s.withdraw(id)
+	s.run(60 * time.Second)
+	if s.jobs[id].told != intake.Cancelled {
+		t.Errorf("still %q", s.jobs[id].told)
+	}
+}
+
 // changes tells whether an effect changes something outside the process.
 func changes(e Effect) bool {
 	switch e := e.(type) {
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -70,7 +70,7 @@
 		desk: rental.NewDesk(c.pol.HireBackoff), ring: round.NewRing(c.pol.RingSlots),
 		waiting: map[unit.JobID][]waiter{}, teams: map[unit.Team]config.Team{},
 		lastWork: map[unit.Team]unit.Instant{}, expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{},
-		lastSeal: now, nextTypes: now.Add(time.Minute)}
+		lastSeal: now, nextTypes: now.Add(5 * time.Second)}
 	w, p := c.set.Params.Workers, c.set.Params
 	t.fleet = fleet.New(fleet.Times{Report: w.ReportInterval(), Lease: w.Lease()}, epoch, now, t.job)
 	t.fleet.SetTypes(c.types)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -40,7 +40,7 @@
 	HireBackoff   time.Duration `star:"hire_backoff_s" min:"1" max:"600"`
 	BootFactor    float64       `star:"boot_factor" min:"1.5" max:"20"`
 	BootLate      float64       `star:"boot_late" min:"1" max:"20"`
-	ReservedBoot  time.Duration `star:"boot_floor_s" min:"1" max:"600"`
+	BootFloor     time.Duration `star:"boot_floor_s" min:"1" max:"600"`
 	SilentAfter   time.Duration `star:"silent_release_s" min:"5" max:"600"`
 	ResealEvery   time.Duration `star:"reseal_s" min:"5" max:"600"`
 	PreemptAfter  time.Duration `star:"preempt_after_s" min:"0" max:"600"`
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -159,8 +159,41 @@
 	if err := c.call(ctx, http.MethodGet, "/flavors", nil, &w); err != nil {
 		return nil, fmt.Errorf("flavors: %w", err)
 	}
+	out := typesOf(w.Frames)
+	if len(out) == 0 {
+		return nil, fmt.Errorf("flavors: %w: none that can be used", ErrUncertain)
+	}
+	return out, nil
+}
+
+// EncodeTypes makes the value in which machine types are kept: the cloud's own
+// form.
+func EncodeTypes(types []*fleet.Type) any {
+	out := make([]wireFlavor, 0, len(types))
+	for _, t := range types {
+		out = append(out, wireFlavor{Label: string(t.Name), CPUs: t.Capacity.CPUs, Accelerators: t.Capacity.GPUs,
+			MemoryGB: t.Capacity.MemoryGB, LocalGB: t.CacheGB, FetchGBps: t.FetchGBps, Hourly: t.Price,
+			MarketPrice: t.SpotPrice, ReadyS: t.Boot.Seconds(), Halls: t.Zones})
+	}
+	return out
+}
+
+// DecodeTypes reads what EncodeTypes makes.
+func DecodeTypes(data []byte) ([]*fleet.Type, error) {
+	var w wire.List[wireFlavor]
+	if err := msgpack.Unmarshal(data, &w); err != nil {
+		return nil, fmt.Errorf("decoding machine types: %w", err)
+	}
+	out := typesOf(w)
+	if len(out) == 0 {
+		return nil, errors.New("no machine types that can be used")
+	}
+	return out, nil
+}
+
+func typesOf(frames []wireFlavor) []*fleet.Type {
 	var out []*fleet.Type
-	for _, f := range w.Frames {
+	for _, f := range frames {
 		if f.Label == "" || !(f.CPUs > 0) || !(f.MemoryGB > 0) {
 			continue
 		}
@@ -169,10 +202,7 @@
 			CacheGB:  f.LocalGB, FetchGBps: f.FetchGBps, Price: f.Hourly, SpotPrice: f.MarketPrice,
 			Boot: unit.Seconds(f.ReadyS), Zones: f.Halls})
 	}
-	if len(out) == 0 {
-		return nil, fmt.Errorf("flavors: %w: none that can be used", ErrUncertain)
-	}
-	return out, nil
+	return out
 }
 
 // Hire asks for machines under a name that makes a repeat harmless.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"fmt"
 	"sort"
 	"strings"
 	"time"
@@ -22,6 +23,10 @@
 	leases   map[unit.Tenure]*stateLease
 	next     unit.Tenure
 	changes  []statestore.Change
+	// ValueBytes and TxnOps are the limits of the service; 0: none. A breach
+	// is kept in Breach.
+	ValueBytes, TxnOps int
+	Breach             string
 	// Writes counts the puts and deletes asked for.
 	Writes int
 }
@@ -95,6 +100,9 @@
 		return 0, statestore.ErrUnavailable
 	}
 	s.Writes += len(t.Writes)
+	if err := s.limits(t); err != nil {
+		return 0, err
+	}
 	var failed []string
 	for _, g := range t.Guards {
 		if s.items[g.Key].stamp != g.Stamp {
@@ -127,6 +135,43 @@
 	return s.revision, nil
 }
 
+// limits refuses a transaction that is too large, counted as JSON like the
+// service does.
+func (s *State) limits(t statestore.Txn) error {
+	if s.TxnOps > 0 && (len(t.Writes) > s.TxnOps || len(t.Guards) > 4*s.TxnOps) {
+		s.Breach = fmt.Sprintf("%d writes and %d guards", len(t.Writes), len(t.Guards))
+		return statestore.ErrMalformed
+	}
+	total := 0
+	for _, w := range t.Writes {
+		n := sizeOf(w.Value)
+		total += n
+		if s.ValueBytes > 0 && n > s.ValueBytes {
+			s.Breach = fmt.Sprintf("%s of %d bytes", w.Set, n)
+		}
+	}
+	if s.ValueBytes > 0 && total > 64<<10 {
+		s.Breach = fmt.Sprintf("transaction of %d bytes", total)
+	}
+	if s.Breach != "" {
+		return statestore.ErrMalformed
+	}
+	return nil
+}
+
+// sizeOf is the size of a value in JSON, with its names as they are stored.
+func sizeOf(v any) int {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return 0
+	}
+	var plain any
+	if err := msgpack.Unmarshal(data, &plain); err != nil {
+		return 0
+	}
+	return statestore.JSONSize(plain)
+}
+
 // Grant makes a lease.
 func (s *State) Grant(now unit.Instant, life time.Duration) (unit.Tenure, error) {
 	if s.Down {
