--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -37,7 +37,6 @@
 	// Halting is set once the task has been told to stop, with Leave.
 	Halting bool
 	Leave   time.Duration
-	Drain   bool // halted to make way or to drain, to be placed anew
 	Since   unit.Instant
 	Ran     unit.Instant // when it was first seen running
 	// EndSeq is the job's sequence number at which the end was taken in; the
--- a/internal/controller/cloud.go
+++ b/internal/controller/cloud.go
@@ -119,7 +119,6 @@
 	if m.Listed == 0 {
 		m.Listed = now
 	}
-	m.LastListed = now
 	if m.Type == "" || !known {
 		t.fleet.Describe(m, l.Type, l.Zone, l.Spot)
 		m.Born = sent.Add(-unit.Seconds(l.AgeS))
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -77,7 +77,6 @@
 	}
 	for _, s := range plan.Stops {
 		t.c.log.Debug("task stopped to make room", "job", s.Placement.Job.ID, "task", s.Placement.Task, "machine", s.Placement.Machine, "for", s.For, "epoch", t.epoch)
-		s.Placement.Drain = true
 		t.fleet.Halt(now, s.Placement, unit.Seconds(s.Placement.Job.Spec.SaveS))
 		t.c.met.Preemptions.Inc()
 	}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -336,6 +336,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if report.Strange > 0 {
+		n.log.Warn("tasks in a report can't be read", "machine", report.Machine, "tasks", report.Strange)
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), reportBudget)
 	defer cancel()
 	ticket := make(chan ReplyReport, 1)
@@ -445,6 +448,5 @@
 		return &meshpb.AcceptReply{Status: http.StatusBadRequest}, nil
 	}
 	_, ans := s.n.runSubmit(ctx, r.Submission, false)
-	return &meshpb.AcceptReply{Status: uint32(ans.Code), Body: []byte(ans.Status.Standing),
-		RetryAfterS: uint32(ans.RetryAfter.Seconds())}, nil
+	return &meshpb.AcceptReply{Status: uint32(ans.Code), Body: []byte(ans.Status.Standing)}, nil
 }
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -46,7 +46,6 @@
 	nextList   unit.Instant
 	nextTypes  unit.Instant
 	nextSweep  unit.Instant
-	nextReload unit.Instant
 	waiting    map[unit.JobID][]waiter
 	reach      reach
 	expect     map[unit.Class]round.Expect
@@ -368,7 +367,6 @@
 	left := m.NoticeAt.Sub(now)
 	t.c.log.Info("machine to be taken", "machine", m.ID, "in", left, "epoch", t.epoch)
 	for _, p := range m.Live() {
-		p.Drain = true
 		t.fleet.Halt(now, p, unit.Seconds(p.Job.Spec.SaveS))
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,7 +36,6 @@
 
 	Up         bool // has reported in its present shift, and is not lost
 	Listed     unit.Instant
-	LastListed unit.Instant
 	Failed     bool
 	Since      unit.Instant // when this leader learned of it
 	Born       unit.Instant // about when it was rented
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -42,7 +42,6 @@
 	Policy     *policy.Policy
 	ValueBytes int
 	SpecSize   func(*checkpoint.Job) int
-	Lease      time.Duration
 }
 
 // Stop is a placement to be stopped to make room.
