Ask machines that have missed a report, and return silent ones after 6 s

Cause: a machine that died with a fifth of the replicas was known to be gone after 8 s at the soonest, since one late report must not cost a machine. It is now asked by an empty direct command after a missed report; an answer shows that it lives and renews nothing.

--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -518,8 +518,12 @@
 	delete(t.waiting, id)
 }
 
-// push sends direct commands where they are due.
+// push sends direct commands where they are due, and empty ones to machines
+// that have missed a report.
 func (t *term) push(now unit.Instant) {
+	for _, m := range t.fleet.Probes(now) {
+		t.c.emit(Do{Machine: m.ID, Addr: m.Addr, Epoch: t.epoch, Shift: m.Shift, Orders: t.fleet.Orders(now, m, false)})
+	}
 	for _, m := range t.fleet.Pushes() {
 		orders := t.fleet.Orders(now, m, false)
 		if len(orders) == 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,7 @@
 	used    checkpoint.Resources
 	images  map[unit.Image]cached
 	pushing bool
+	probed  unit.Instant // when it was last sent an empty command
 	push    bool
 }
 
@@ -584,6 +585,19 @@
 	return out
 }
 
+// Probes returns the machines that have missed a report, and marks them as
+// being sent a command: an empty one, whose answer shows that they live.
+func (f *Fleet) Probes(now unit.Instant) []*Machine {
+	var out []*Machine
+	for _, m := range f.Machines() {
+		if m.Up && !m.pushing && m.Addr != "" && now.Sub(m.LastReport) > f.times.Report*7/5 && now.Sub(m.probed) > f.times.Report/2 {
+			m.pushing, m.probed = true, now
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Pushed notes that a direct command was answered, or given up.
 func (f *Fleet) Pushed(id unit.MachineID) {
 	if m := f.machines[id]; m != nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -210,6 +210,24 @@
 	}
 }
 
+// TestMissedReportIsAskedFor: a machine that has missed a report is asked, and
+// its answer shows that it lives without renewing its lease.
+func TestMissedReportIsAskedFor(t *testing.T) {
+	r := newRig(1)
+	if got := r.f.Probes(r.now.Add(4 * time.Second)); got != nil {
+		t.Fatal("asked before a report was missed")
+	}
+	r.now = r.now.Add(5 * time.Second)
+	if got := r.f.Probes(r.now); len(got) != 1 || r.f.Probes(r.now) != nil {
+		t.Fatal("not asked, or asked twice at once")
+	}
+	r.f.Pushed("host-1")
+	r.f.Take(r.now, &Report{Machine: "host-1", Addr: "10.0.0.1:1", Type: "m", Zone: "a", Shift: 1, Tally: 9, Seal: epoch}, false)
+	if r.m.LastReport != r.now || r.m.LastAnswer == r.now {
+		t.Error("the answer must show life, and not count for the lease")
+	}
+}
+
 func TestImagesAreForgottenAsTheCacheFills(t *testing.T) {
 	r := newRig(1)
 	r.f.touchImage(t0, r.m, &checkpoint.Spec{Image: "a", ImageGB: 2})
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -34,7 +34,7 @@
 hire_backoff_s = 15
 boot_factor = 4
 boot_floor_s = 60
-silent_release_s = 8
+silent_release_s = 6
 
 # How often the seal is raised, at most, to make the reaping of exits safe.
 reseal_s = 45
