--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -797,6 +797,10 @@
 				s.state.Down = true
 				s.after(20*time.Second, func() { s.state.Down = false })
 			})
+			s.after(75*time.Second, func() {
+				s.cloud.Down = true
+				s.after(30*time.Second, func() { s.cloud.Down = false })
+			})
 			s.every(23*time.Second, func() {
 				if l := s.leader(); l != nil && s.loss > 0 {
 					s.cut[l.index] = true
