Make one piece of code of what stood twice

One loop over the kinds of machines instead of three, one price and one time to start instead of copies in the cost; the cheapest kind is worked out once a plan, not for each machine. One exchange of MessagePack over HTTP for the state service, the cloud and the workers. Teams by name are made once, not for each submission; a failed guard finds its job by key, not by a scan. The birth of coming machines, which the planner did not read, is gone. Behaviour is as it was.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -99,6 +99,15 @@
 	MaxSockets int     `json:"max_sockets"`
 }
 
+// TeamsByName returns the teams by their names.
+func (p *Params) TeamsByName() map[unit.Team]Team {
+	out := make(map[unit.Team]Team, len(p.Teams))
+	for _, t := range p.Teams {
+		out[t.Name] = t
+	}
+	return out
+}
+
 // ReportInterval is the nominal time between two reports of a worker.
 func (w Workers) ReportInterval() time.Duration { return unit.Seconds(w.ReportS) }
 
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -304,17 +303,12 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", wire.ContentType)
-	resp, err := n.worker.Do(req)
+	status, data, err := wire.Exchange(n.worker, req, 4*fleet.MaxBody)
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, 4*fleet.MaxBody))
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
-		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	if status != http.StatusOK && status != http.StatusConflict {
+		return nil, fmt.Errorf("status %d", status)
 	}
 	return fleet.DecodeReport(data)
 }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -41,6 +41,7 @@
 	pol    *policy.Policy
 	log    *slog.Logger
 	met    *Metrics
+	teams  map[unit.Team]config.Team
 	clock  unit.Clock
 	budget *statestore.Budget
 	store  *statestore.Client
@@ -66,7 +67,7 @@
 	}
 	p := set.Params
 	clock := unit.NewSystemClock()
-	n := &Node{set: set, pol: pol, log: log, met: NewMetrics(), clock: clock, peers: peers,
+	n := &Node{set: set, pol: pol, log: log, met: NewMetrics(), teams: p.TeamsByName(), clock: clock, peers: peers,
 		budget: statestore.NewBudget(len(set.Peers)+1, p.State.RPS, p.State.WriteRPS),
 		store:  statestore.NewClient(set.External.State, transport(16)),
 		cloud:  rental.NewCloud(set.External.Cloud, transport(4)),
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"badgerbay/internal/checkpoint"
@@ -229,12 +230,12 @@
 	var out []round.Coming
 	for _, m := range t.fleet.Machines() {
 		if m.Type != "" && m.Shift == 0 && !m.Releasing && !m.Failed && !t.late(now, m) {
-			out = append(out, round.Coming{Offer: rental.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}, Born: m.Born})
+			out = append(out, round.Coming{Offer: rental.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}})
 		}
 	}
 	for _, h := range t.desk.Pending() {
 		for range h.Count {
-			out = append(out, round.Coming{Offer: h.Offer, Born: h.Since})
+			out = append(out, round.Coming{Offer: h.Offer})
 		}
 	}
 	return out
@@ -445,11 +446,10 @@
 	t.retryFold = now.Add(200 * time.Millisecond)
 	for _, key := range in.Failed {
 		t.c.met.CASConflicts.Inc()
-		for id := range t.jobs {
-			if checkpoint.Key(id) == key && !t.reading[id] {
-				t.reading[id] = true
-				t.c.emit(ReadJob{Job: id})
-			}
+		id := unit.JobID(strings.TrimPrefix(key, checkpoint.KeyPrefix))
+		if t.jobs[id] != nil && !t.reading[id] {
+			t.reading[id] = true
+			t.c.emit(ReadJob{Job: id})
 		}
 	}
 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -14,7 +14,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/checkpoint"
-	"badgerbay/internal/config"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/intake"
 	"badgerbay/internal/mesh"
@@ -130,12 +129,7 @@
 }
 
 func (n *Node) rules() *intake.Rules {
-	p := n.set.Params
-	teams := make(map[unit.Team]config.Team, len(p.Teams))
-	for _, t := range p.Teams {
-		teams[t.Name] = t
-	}
-	return &intake.Rules{Teams: teams, Zones: p.Zones, Types: n.view.Load().types}
+	return &intake.Rules{Teams: n.teams, Zones: n.set.Params.Zones, Types: n.view.Load().types}
 }
 
 func (n *Node) ask(kind intake.Kind) httprouter.Handle {
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -67,16 +67,13 @@
 	t := &term{c: c, epoch: epoch, acquired: now, jobs: map[unit.JobID]*checkpoint.Job{},
 		specSize: map[unit.JobID]int{}, reading: map[unit.JobID]bool{},
 		desk: rental.NewDesk(c.pol.HireBackoff), ring: round.NewRing(c.pol.RingSlots),
-		waiting: map[unit.JobID][]waiter{}, teams: map[unit.Team]config.Team{},
+		waiting: map[unit.JobID][]waiter{}, teams: c.set.Params.TeamsByName(),
 		lastWork: map[unit.Team]unit.Instant{}, expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{},
 		lastSeal: now, nextTypes: now.Add(5 * time.Second)}
 	w, p := c.set.Params.Workers, c.set.Params
 	t.fleet = fleet.New(fleet.Times{Report: w.ReportInterval(), Lease: w.Lease()}, epoch, now, t.job)
 	t.fleet.SetTypes(c.types)
 	t.cloud = statestore.NewBucket(p.Cloud.RPS*0.8, max(1, p.Cloud.RPS))
-	for _, team := range p.Teams {
-		t.teams[team.Name] = team
-	}
 	t.objectives()
 	return t
 }
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -117,16 +116,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrMalformed, err)
 	}
-	resp, err := c.http.Do(req)
+	status, data, err := wire.Exchange(c.http, req, maxAnswer)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrUncertain, err)
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return fmt.Errorf("%w: %v", ErrUncertain, err)
-	}
-	return sortAnswer(resp.StatusCode, data, out)
+	return sortAnswer(status, data, out)
 }
 
 func sortAnswer(status int, data []byte, out any) error {
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -16,7 +16,6 @@
 // Coming is a machine that has been rented, or is being rented, and is not up.
 type Coming struct {
 	Offer rental.Offer
-	Born  unit.Instant
 }
 
 // World is what a round is planned from.
@@ -105,6 +104,7 @@
 	missing []shortage                  // of the room kept free
 	placed  map[*bin]int                // replicas given a place in this plan
 	starts  map[*checkpoint.Job]float64 // see soonest
+	least   map[*checkpoint.Job]float64 // see cheapest
 	demand  map[unit.Class]int          // tasks that found no room
 	guards  bool                        // some team has a guarantee
 	surplus float64                     // CPUs beyond what the guarantees want as machines
@@ -113,7 +113,8 @@
 // Make plans a round. It changes nothing it is given.
 func Make(w *World) *Plan {
 	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
-		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
+		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
+		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -71,23 +71,28 @@
 	var best rental.Offer
 	var bestType *fleet.Type
 	bestCost := math.Inf(1)
+	p.eachOffer(j, func(o rental.Offer, t *fleet.Type) {
+		if p.zoneRoom(j, o.Zone) == 0 || p.w.Blocked(o) || !p.worth(j, t, o.Spot) {
+			return
+		}
+		if cost := p.cost(j, t, o.Zone, o.Spot); cost < bestCost {
+			best, bestType, bestCost = o, t, cost
+		}
+	})
+	return best, bestType
+}
+
+// eachOffer calls f for every kind of machine that the job allows.
+func (p *planner) eachOffer(j *checkpoint.Job, f func(rental.Offer, *fleet.Type)) {
 	for _, t := range p.w.Types {
 		for _, z := range p.zonesOf(t) {
 			for _, spot := range []bool{true, false} {
-				o := rental.Offer{Type: t.Name, Zone: z, Spot: spot}
-				if !j.Spec.Allows(t.Name, z, spot) || p.zoneRoom(j, z) == 0 || p.w.Blocked(o) {
-					continue
-				}
-				if !p.worth(j, t, spot) {
-					continue
-				}
-				if cost := p.cost(j, t, z, spot); cost < bestCost {
-					best, bestType, bestCost = o, t, cost
+				if j.Spec.Allows(t.Name, z, spot) {
+					f(rental.Offer{Type: t.Name, Zone: z, Spot: spot}, t)
 				}
 			}
 		}
 	}
-	return best, bestType
 }
 
 func (p *planner) zonesOf(t *fleet.Type) []unit.Zone {
@@ -102,21 +107,14 @@
 	if per == 0 {
 		return math.Inf(1)
 	}
-	price := t.Price
-	if spot {
-		price = t.SpotPrice
-	}
 	run := j.Spec.EstimateS
 	if j.Spec.Service || run <= 0 {
 		run = serviceHorizon
 	}
-	wait := t.Boot.Seconds()
-	if t.FetchGBps > 0 {
-		wait += j.Spec.ImageGB / t.FetchGBps
-	}
+	wait := startTime(j, t)
 	// A machine that the job fills only in part is paid for in whole.
 	filled := min(per, max(1, p.demand[j.Spec.Class]))
-	cost := price / float64(filled) * (run + wait) / run
+	cost := price(t, spot) / float64(filled) * (run + wait) / run
 	if within := p.w.Expect[j.Spec.Class].Start.Seconds(); within > 0 && wait > within {
 		// It will be late wherever it goes: the sooner the better.
 		cost *= 1 + (wait-within)/lateUnit
@@ -223,16 +221,11 @@
 		return s
 	}
 	best := math.Inf(1)
-	for _, t := range p.w.Types {
-		for _, z := range p.zonesOf(t) {
-			for _, spot := range []bool{true, false} {
-				o := rental.Offer{Type: t.Name, Zone: z, Spot: spot}
-				if j.Spec.Allows(t.Name, z, spot) && !p.w.Blocked(o) && t.Capacity.Fits(j.Spec.Need()) {
-					best = min(best, startTime(j, t))
-				}
-			}
+	p.eachOffer(j, func(o rental.Offer, t *fleet.Type) {
+		if !p.w.Blocked(o) && t.Capacity.Fits(j.Spec.Need()) {
+			best = min(best, startTime(j, t))
 		}
-	}
+	})
 	p.starts[j] = best
 	return best
 }
@@ -252,23 +245,26 @@
 	if per == 0 {
 		return math.Inf(1)
 	}
+	return price(t, spot) / float64(per)
+}
+
+// price is what a machine of the type costs now, ordinary or spot.
+func price(t *fleet.Type, spot bool) float64 {
 	if spot {
-		return t.SpotPrice / float64(per)
+		return t.SpotPrice
 	}
-	return t.Price / float64(per)
+	return t.Price
 }
 
+// cheapest is what a task of the job costs on the cheapest kind that it
+// allows. It is asked for every machine, so it is worked out once a plan.
 func (p *planner) cheapest(j *checkpoint.Job) float64 {
-	best := math.Inf(1)
-	for _, t := range p.w.Types {
-		for _, z := range p.zonesOf(t) {
-			for _, spot := range []bool{true, false} {
-				if j.Spec.Allows(t.Name, z, spot) {
-					best = min(best, taskPrice(j, t, spot))
-				}
-			}
-		}
+	if c, ok := p.least[j]; ok {
+		return c
 	}
+	best := math.Inf(1)
+	p.eachOffer(j, func(o rental.Offer, t *fleet.Type) { best = min(best, taskPrice(j, t, o.Spot)) })
+	p.least[j] = best
 	return best
 }
 
@@ -321,9 +317,9 @@
 }
 
 // keepGuaranteed sees to it that the machines hold what the teams are
-// guaranteed, or use beyond it, as long as they have work: guaranteed work need not wait, and a machine
-// takes long to come up. It keeps idle machines that are needed for that, and
-// rents what is missing.
+// guaranteed, or use beyond it, as long as they have work: guaranteed work need
+// not wait, and a machine takes long to come up. It keeps idle machines that
+// are needed for that, and rents what is missing.
 func (p *planner) keepGuaranteed() {
 	wanted, have := 0.0, 0.0
 	for name, t := range p.w.Teams {
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -122,16 +121,11 @@
 	if err != nil {
 		return 0, nil, fmt.Errorf("%w: %v", ErrMalformed, err)
 	}
-	resp, err := c.http.Do(req)
+	status, data, err := wire.Exchange(c.http, req, maxAnswer)
 	if err != nil {
 		return 0, nil, fmt.Errorf("%w: %v", ErrUncertain, err)
 	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %v", ErrUncertain, err)
-	}
-	return sortAnswer(resp.StatusCode, data)
+	return sortAnswer(status, data)
 }
 
 // sortAnswer turns a status and a body into a reply or an error. A body that
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -33,6 +33,20 @@
 	return req, nil
 }
 
+// Exchange sends a request and reads the whole answer, up to limit bytes.
+func Exchange(c *http.Client, req *http.Request, limit int64) (int, []byte, error) {
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	if err != nil {
+		return 0, nil, err
+	}
+	return resp.StatusCode, data, nil
+}
+
 // ContentType is the media type of every body.
 const ContentType = "application/msgpack"
 
