Pack placements and starts, so that large arrays need not run in waves

Cause: a job's record was bounded by 146 bytes of JSON a task under way, so at 8 KiB an array of 500 tasks ran 50 at a time, and a round held about 70 starts. Change: ranges, placements and starts are packed: MessagePack in a text, since the state service takes no binary. The bound counts groups that exist, and for each task one span, the worst that any order of ends leaves. Schema 2 of both records; schema 1 is still read. After (arithmetic, checked by the property test): 190 tasks on machines of their own or 310 in pairs at 8 KiB, about 200 starts a round.

--- a/internal/checkpoint/checkpoint_test.go
+++ b/internal/checkpoint/checkpoint_test.go
@@ -21,10 +21,23 @@
 		j.Start(&Placement{Job: j, Task: i, Machine: "host-1", Shift: 2, Attempt: 7}, "a")
 	}
 	want := j.Record(12)
-	data, err := msgpack.Marshal(want)
+	stored, err := want.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
+	data, err := msgpack.Marshal(stored)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := *want
+	old.Schema = 1
+	list, err := msgpack.Marshal(&old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decode(list); err != nil || len(got.Live) != 1 || !got.Done.Has(4) {
+		t.Errorf("record of schema 1 read as %+v, %v", got, err)
+	}
 	got, err := Decode(data)
 	if err != nil {
 		t.Fatal(err)
@@ -86,11 +99,19 @@
 		}
 		live := map[unit.TaskIndex]*Placement{}
 		for round := range 60 {
-			for n := j.Room(limit, len(spec)); n > 0 && len(j.Queue) > 0; n-- {
-				i := j.Queue[0].First
-				p := &Placement{Job: j, Task: i, Machine: unit.MachineID(fmt.Sprintf("host-%06d", next(machines))), Shift: 12, Attempt: unit.Attempt(123456 + round)}
-				j.Start(p, "a")
-				live[i] = p
+			for room := j.Room(limit, len(spec)); len(j.Queue) > 0; {
+				m := unit.MachineID(fmt.Sprintf("host-%06d", next(machines)))
+				n := j.Fit(room, m, min(1+next(9), j.Queue.Len()))
+				if n == 0 {
+					break
+				}
+				room -= j.Cost(m, n)
+				for range n {
+					i := j.Queue[0].First
+					p := &Placement{Job: j, Task: i, Machine: m, Shift: 12, Attempt: unit.Attempt(123456 + round)}
+					j.Start(p, "a")
+					live[i] = p
+				}
 			}
 			for i := range unit.TaskIndex(100_000) {
 				p := live[i]
@@ -110,7 +131,11 @@
 					delete(live, i)
 				}
 			}
-			data, err := json.Marshal(j.Record(1 << 40))
+			rec, err := j.Record(1 << 40).Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			data, err := json.Marshal(rec)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -130,6 +155,17 @@
 		f.Fatal(err)
 	}
 	f.Add(data)
+	j := NewJob("wk-000001", NewRecord(Spec{Tasks: 30, CPUs: 1}, 5), 1, 0)
+	j.Complete(1, 4)
+	j.Start(&Placement{Job: j, Task: 9, Machine: "host-1", Shift: 2, Attempt: 7}, "a")
+	stored, err := j.Record(3).Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	if data, err = msgpack.Marshal(stored); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
 	f.Add([]byte{0x81, 0xa1, 'l', 0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0x81, 0xa1, 'd', 0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -197,11 +197,13 @@
 	attempt unit.Attempt
 }
 
+func (p *Placement) group() groupKey { return groupKey{p.Machine, p.Shift, p.Attempt} }
+
 func (j *Job) groups() []Group {
 	at := map[groupKey]int{}
 	var out []Group
 	for _, p := range j.Live {
-		k := groupKey{p.Machine, p.Shift, p.Attempt}
+		k := p.group()
 		n, ok := at[k]
 		if !ok {
 			n = len(out)
@@ -219,18 +221,49 @@
 	return out
 }
 
-// Sizes, in the JSON form in which the limit counts: of one span and of one
-// group with the longest numbers that occur.
 const (
-	spanSize  = 18
-	groupSize = 110
+	// recordSize bounds, in JSON, what a record holds beside its spec and what
+	// is packed.
+	recordSize = 256
+	// groupHead bounds the bytes of a packed group, leaving aside its tasks
+	// and the name of its machine: heads, shift and attempt.
+	groupHead = 16
 )
 
-// Room tells how many more tasks may be under way so that the record stays
-// below limit bytes whatever order they end in. Tasks start lowest number
-// first, so each task under way adds at most one span to the done ranges and
-// one to its group.
-func (j *Job) Room(limit, specSize int) int {
-	free := limit - specSize - 256 - groupSize*(len(j.Live)) - 2*spanSize*(len(j.Live)+len(j.Done)+len(j.Queue))
-	return max(0, free/(groupSize+2*spanSize))
+// Room is how many packed bytes more the record may hold.
+type Room int
+
+// Room tells how much may be added to the tasks under way so that the record
+// stays below limit bytes whatever order they end in. Every task under way is,
+// at any later time, at most one span of its group or of the done ranges.
+func (j *Job) Room(limit, specSize int) Room {
+	room := Room((limit-specSize-recordSize)*3/4 - j.Done.PackedSize() - 5)
+	seen := map[groupKey]bool{}
+	for _, p := range j.Live {
+		if k := p.group(); !seen[k] {
+			seen[k] = true
+			room -= j.groupCost(p.Machine)
+		}
+	}
+	return room - j.taskCost()*Room(len(j.Live))
+}
+
+// Fit is how many of n tasks may be added as one group on the machine.
+func (j *Job) Fit(r Room, m unit.MachineID, n int) int {
+	return max(0, min(n, int((r-j.groupCost(m))/j.taskCost())))
 }
+
+// Alone is how many tasks may be added, each on a machine of its own.
+func (j *Job) Alone(r Room) int {
+	const longName = 32
+	return max(0, int(r/(groupHead+longName+j.taskCost())))
+}
+
+// Cost is what n tasks that are added as one group take of the room.
+func (j *Job) Cost(m unit.MachineID, n int) Room {
+	return j.groupCost(m) + j.taskCost()*Room(n)
+}
+
+func (j *Job) groupCost(m unit.MachineID) Room { return Room(groupHead + len(m)) }
+
+func (j *Job) taskCost() Room { return Room(2 * unit.NumberSize(uint64(j.Spec.Tasks))) }
--- a/internal/checkpoint/record.go
+++ b/internal/checkpoint/record.go
@@ -14,8 +14,10 @@
 const KeyPrefix = "job/"
 
 // Schema is the version of Record. A reader refuses a record of a later
-// schema rather than guess what it means; see docs/operations.md.
-const Schema = 1
+// schema rather than guess what it means; see docs/operations.md. Up to
+// schema 1 the done ranges and the placements were lists; since 2 they are
+// packed, and lists are still read.
+const Schema = 2
 
 // Phase of a job. Done and Cancelled are final.
 type Phase string
@@ -57,11 +59,72 @@
 	Phase    Phase            `msgpack:"ph" json:"ph"`
 	Epoch    unit.Epoch       `msgpack:"e" json:"e"`
 	Round    unit.RoundNo     `msgpack:"r" json:"r"` // the last round folded in
-	Done     unit.Ranges      `msgpack:"d,omitempty" json:"d,omitempty"`
-	Live     wire.List[Group] `msgpack:"l,omitempty" json:"l,omitempty"`
+	Done     unit.Ranges      `msgpack:"d,omitempty" json:"-"`
+	Live     wire.List[Group] `msgpack:"l,omitempty" json:"-"`
+	Packed   wire.Packed      `msgpack:"pk,omitempty" json:"pk,omitempty"`
 	Next     Action           `msgpack:"nx" json:"nx"`
 }
 
+// Encode returns the record as it is stored.
+func (r *Record) Encode() (*Record, error) {
+	out := *r
+	out.Done, out.Live = nil, nil
+	if len(r.Done)+len(r.Live) == 0 {
+		return &out, nil
+	}
+	var err error
+	out.Packed, err = wire.Pack(r.pack)
+	return &out, err
+}
+
+func (r *Record) pack(e *msgpack.Encoder) error {
+	if err := r.Done.Pack(e); err != nil {
+		return err
+	}
+	if err := e.EncodeArrayLen(len(r.Live)); err != nil {
+		return err
+	}
+	for _, g := range r.Live {
+		err := errors.Join(e.EncodeString(string(g.Machine)), e.EncodeUint(uint64(g.Shift)),
+			e.EncodeUint(uint64(g.Attempt)), g.Tasks.Pack(e))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Record) unpack(d *msgpack.Decoder) error {
+	if err := r.Done.Unpack(d); err != nil {
+		return err
+	}
+	n, err := wire.ArrayLen(d)
+	for ; n > 0 && err == nil; n-- {
+		var g Group
+		if err = g.unpack(d); err == nil {
+			r.Live = append(r.Live, g)
+		}
+	}
+	return err
+}
+
+func (g *Group) unpack(d *msgpack.Decoder) error {
+	name, err := wire.Text(d)
+	if err != nil {
+		return err
+	}
+	shift, err := wire.Count(d)
+	if err != nil {
+		return err
+	}
+	attempt, err := wire.Count(d)
+	if err != nil {
+		return err
+	}
+	g.Machine, g.Shift, g.Attempt = unit.MachineID(name), unit.Shift(shift), unit.Attempt(attempt)
+	return g.Tasks.Unpack(d)
+}
+
 // ErrSchema says that a record was written by a later version.
 var ErrSchema = errors.New("record has a later schema")
 
@@ -77,6 +140,12 @@
 	if r.Schema > Schema {
 		return nil, fmt.Errorf("%w: %d, this program knows %d", ErrSchema, r.Schema, Schema)
 	}
+	if r.Packed != "" {
+		if err := r.Packed.Unpack(r.unpack); err != nil {
+			return nil, fmt.Errorf("job record: %w", err)
+		}
+		r.Packed = ""
+	}
 	if r.Spec.Tasks < 1 || !r.Done.Valid(r.Spec.Tasks) {
 		return nil, errors.New("job record holds impossible ranges")
 	}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -110,11 +110,17 @@
 	for _, id := range r.Releases {
 		t.fleet.Machine(id).Releasing = true
 	}
+	stored, err := r.Encode()
+	if err != nil {
+		t.c.log.Error("round can't be written", "round", r.No, "err", err, "epoch", t.epoch)
+		t.undo(now, f)
+		return
+	}
 	t.flight = f
 	key := t.ring.Key(r.No)
 	t.c.emit(Commit{Kind: CommitRound, Epoch: t.epoch, Txn: statestore.Txn{
 		Guards: []statestore.Guard{t.leaderGuard(), {Key: key, Stamp: t.ring.Version(r.No)}},
-		Writes: []statestore.Write{{Set: key, Value: r}},
+		Writes: []statestore.Write{{Set: key, Value: stored}},
 	}})
 }
 
@@ -374,7 +380,11 @@
 	txn := statestore.Txn{Guards: []statestore.Guard{t.leaderGuard()}}
 	size := 0
 	for _, j := range batch[:n] {
-		rec := j.Record(t.epoch)
+		rec, err := j.Record(t.epoch).Encode()
+		if err != nil {
+			t.c.log.Error("checkpoint can't be written", "job", j.ID, "err", err, "epoch", t.epoch)
+			continue
+		}
 		size += statestore.JSONSize(rec)
 		if size > maxTxn && len(f.jobs) > 0 {
 			break
@@ -385,6 +395,9 @@
 		f.jobs = append(f.jobs, foldedJob{j, j.Seq, rec.Round, rec.Phase})
 		j.Writing = true
 	}
+	if len(f.jobs) == 0 {
+		return
+	}
 	t.c.budget.TakeWrites(now, use, len(f.jobs))
 	t.fold = f
 	t.c.emit(Commit{Kind: CommitFold, Epoch: t.epoch, Txn: txn})
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -99,6 +99,7 @@
 	handled map[*checkpoint.Job]int
 	added   map[*checkpoint.Job]map[unit.Zone]int // tasks given a place in this plan
 	taken   map[*checkpoint.Placement]bool
+	rooms   map[*checkpoint.Job]checkpoint.Room
 	full    bool
 
 	missing []shortage                  // of the room kept free
@@ -114,7 +115,7 @@
 func Make(w *World) *Plan {
 	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
 		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
-		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}}
+		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
@@ -269,7 +270,7 @@
 func (p *planner) placeJob(t turn) int {
 	j := t.job
 	skip := p.handled[j]
-	left := min(j.Queue.Len()-skip, p.quota(j), j.Room(p.w.ValueBytes, p.w.SpecSize(j))-skip)
+	left := min(j.Queue.Len()-skip, p.quota(j))
 	if t.guaranteed {
 		left = min(left, p.guaranteed(j))
 	}
@@ -296,15 +297,16 @@
 			break
 		}
 		n := min(len(tasks), fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone))
-		if n > 0 {
+		if n = j.Fit(p.room(j), b.m.ID, n); n > 0 {
 			n = p.start(j, b, tasks[:n])
 			tasks = tasks[n:]
 		}
 	}
-	if len(tasks) == 0 || p.full {
+	n := min(len(tasks), j.Alone(p.room(j)))
+	if n == 0 || p.full {
 		return 0
 	}
-	return p.noRoom(j, len(tasks), t.guaranteed)
+	return p.noRoom(j, n, t.guaranteed)
 }
 
 // rush tells whether the job must start sooner than the bin's machine could
@@ -414,10 +416,21 @@
 	}
 	p.size += st.SizeOf()
 	p.plan.Record.Starts = append(p.plan.Record.Starts, st)
+	p.rooms[j] -= j.Cost(b.m.ID, len(tasks))
 	p.take(j, b, len(tasks))
 	return len(tasks)
 }
 
+// room is what the job's record still holds, with what this plan has started.
+func (p *planner) room(j *checkpoint.Job) checkpoint.Room {
+	r, ok := p.rooms[j]
+	if !ok {
+		r = j.Room(p.w.ValueBytes, p.w.SpecSize(j))
+		p.rooms[j] = r
+	}
+	return r
+}
+
 func (p *planner) take(j *checkpoint.Job, b *bin, n int) {
 	b.free = b.free.Minus(j.Spec.Need().Times(n))
 	if j.Spec.Service {
@@ -480,7 +493,7 @@
 	for _, b := range bins {
 		n := fitCount(b.free, j.Spec.Need())
 		room[b.zone] = min(p.zoneRoom(j, b.zone), room[b.zone]+n)
-		size += startSize + spanSize + len(j.ID) + len(b.m.ID)
+		size += (&Start{Job: j.ID, Machine: b.m.ID, Tasks: unit.Full(max(1, n))}).SizeOf()
 	}
 	if size+2*hireSize > p.w.ValueBytes {
 		return false
--- a/internal/round/record.go
+++ b/internal/round/record.go
@@ -19,8 +19,9 @@
 // KeyPrefix begins the keys of the ring of round records.
 const KeyPrefix = "round/"
 
-// Schema is the version of Record.
-const Schema = 1
+// Schema is the version of Record. Since 2 the starts are packed; the lists of
+// schema 1 are still read.
+const Schema = 2
 
 // Start is a group of tasks of one job to be started on one machine. The
 // attempt is the number of the round.
@@ -45,7 +46,8 @@
 	No       unit.RoundNo              `msgpack:"no" json:"no"`
 	Epoch    unit.Epoch                `msgpack:"e" json:"e"`
 	Low      unit.RoundNo              `msgpack:"lo" json:"lo"`
-	Starts   wire.List[Start]          `msgpack:"st,omitempty" json:"st,omitempty"`
+	Starts   wire.List[Start]          `msgpack:"st,omitempty" json:"-"`
+	Packed   wire.Packed               `msgpack:"pk,omitempty" json:"pk,omitempty"`
 	Hires    wire.List[Hire]           `msgpack:"hi,omitempty" json:"hi,omitempty"`
 	Releases wire.List[unit.MachineID] `msgpack:"re,omitempty" json:"re,omitempty"`
 }
@@ -62,6 +64,12 @@
 	if r.Schema > Schema {
 		return nil, fmt.Errorf("%w: %d, this program knows %d", ErrSchema, r.Schema, Schema)
 	}
+	if r.Packed != "" {
+		if err := r.Packed.Unpack(r.unpack); err != nil {
+			return nil, fmt.Errorf("round record: %w", err)
+		}
+		r.Packed = ""
+	}
 	for _, s := range r.Starts {
 		if !s.Tasks.Valid(1 << 31) {
 			return nil, errors.New("round record holds impossible ranges")
@@ -70,6 +78,73 @@
 	return r, nil
 }
 
+// Encode returns the record as it is stored.
+func (r *Record) Encode() (*Record, error) {
+	out := *r
+	out.Starts = nil
+	if len(r.Starts) == 0 {
+		return &out, nil
+	}
+	var err error
+	out.Packed, err = wire.Pack(r.pack)
+	return &out, err
+}
+
+// pack writes the starts. The name of a job is left empty where it is that of
+// the start before.
+func (r *Record) pack(e *msgpack.Encoder) error {
+	if err := e.EncodeArrayLen(len(r.Starts)); err != nil {
+		return err
+	}
+	last := unit.JobID("")
+	for _, s := range r.Starts {
+		job := s.Job
+		if job == last {
+			job = ""
+		}
+		last = s.Job
+		err := errors.Join(e.EncodeString(string(job)), e.EncodeString(string(s.Machine)),
+			e.EncodeUint(uint64(s.Shift)), s.Tasks.Pack(e))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Record) unpack(d *msgpack.Decoder) error {
+	n, err := wire.ArrayLen(d)
+	last := unit.JobID("")
+	for ; n > 0 && err == nil; n-- {
+		var s Start
+		if err = s.unpack(d, last); err == nil {
+			r.Starts = append(r.Starts, s)
+			last = s.Job
+		}
+	}
+	return err
+}
+
+func (s *Start) unpack(d *msgpack.Decoder, last unit.JobID) error {
+	job, err := wire.Text(d)
+	if err != nil {
+		return err
+	}
+	machine, err := wire.Text(d)
+	if err != nil {
+		return err
+	}
+	shift, err := wire.Count(d)
+	if err != nil {
+		return err
+	}
+	s.Job, s.Machine, s.Shift = unit.JobID(job), unit.MachineID(machine), unit.Shift(shift)
+	if job == "" {
+		s.Job = last
+	}
+	return s.Tasks.Unpack(d)
+}
+
 // Empty tells whether the round decides nothing.
 func (r *Record) Empty() bool {
 	return len(r.Starts) == 0 && len(r.Hires) == 0 && len(r.Releases) == 0
@@ -84,15 +159,14 @@
 // Sizes, in JSON, of the parts of a record with the longest numbers that occur.
 const (
 	recordSize  = 160
-	startSize   = 70
-	spanSize    = 18
+	startHead   = 12 // bytes, packed
 	hireSize    = 120
 	releaseSize = 4
 )
 
-// SizeOf bounds the JSON size of a start.
+// SizeOf bounds the JSON size of a start that does not follow one of its job.
 func (s *Start) SizeOf() int {
-	return startSize + len(s.Job) + len(s.Machine) + spanSize*len(s.Tasks)
+	return wire.PackedLen(startHead + len(s.Job) + len(s.Machine) + s.Tasks.PackedSize())
 }
 
 // SizeOf bounds the JSON size of the record.
--- a/internal/unit/ranges.go
+++ b/internal/unit/ranges.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"sort"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -22,6 +23,80 @@
 // spans. The zero value is the empty set.
 type Ranges []Span
 
+// Pack writes the set as one list of numbers: what lies between a span and the
+// one before it, then its length less one, and so on. Most take one byte.
+func (r Ranges) Pack(e *msgpack.Encoder) error {
+	if err := e.EncodeArrayLen(2 * len(r)); err != nil {
+		return err
+	}
+	next := TaskIndex(0)
+	for _, s := range r {
+		if err := e.EncodeUint(uint64(s.First - next)); err != nil {
+			return err
+		}
+		if err := e.EncodeUint(uint64(s.Last - s.First)); err != nil {
+			return err
+		}
+		next = s.Last
+	}
+	return nil
+}
+
+// Unpack reads what Pack wrote. The caller checks it with Valid.
+func (r *Ranges) Unpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n > 2*maxSpans || n%2 != 0 {
+		return errors.New("set of too many spans, or of half a one")
+	}
+	*r = nil
+	next := uint64(0)
+	for range max(n, 0) / 2 {
+		gap, err := d.DecodeUint64()
+		if err != nil {
+			return err
+		}
+		more, err := d.DecodeUint64()
+		if err != nil {
+			return err
+		}
+		if gap > math.MaxUint32 || more > math.MaxUint32 || next+gap+more > math.MaxUint32 {
+			return errors.New("set with an index out of range")
+		}
+		*r = append(*r, Span{First: TaskIndex(next + gap), Last: TaskIndex(next + gap + more)})
+		next += gap + more
+	}
+	return nil
+}
+
+// PackedSize is the number of bytes that Pack writes.
+func (r Ranges) PackedSize() int {
+	n := 5
+	next := TaskIndex(0)
+	for _, s := range r {
+		n += NumberSize(uint64(s.First-next)) + NumberSize(uint64(s.Last-s.First))
+		next = s.Last
+	}
+	return n
+}
+
+// NumberSize is the number of bytes that a number takes in MessagePack.
+func NumberSize(n uint64) int {
+	switch {
+	case n < 1<<7:
+		return 1
+	case n < 1<<8:
+		return 2
+	case n < 1<<16:
+		return 3
+	case n < 1<<32:
+		return 5
+	}
+	return 9
+}
+
 // maxSpans bounds what is read back of a set.
 const maxSpans = 1 << 16
 
--- /dev/null
+++ b/internal/wire/pack.go
@@ -0,0 +1,53 @@
+package wire
+
+import (
+	"encoding/base64"
+	"fmt"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Packed is what Pack makes: MessagePack in a text. The state service counts
+// values in JSON and takes no binary; numbers and lists are a third as long
+// this way.
+type Packed string
+
+// Pack encodes what f writes. Encoding into memory does not fail; a value that
+// can't be encoded is a mistake in f.
+func Pack(f func(*msgpack.Encoder) error) (Packed, error) {
+	var b strings.Builder
+	w := base64.NewEncoder(base64.RawStdEncoding, &b)
+	enc := msgpack.NewEncoder(w)
+	if err := f(enc); err != nil {
+		return "", fmt.Errorf("packing: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return "", fmt.Errorf("packing: %w", err)
+	}
+	return Packed(b.String()), nil
+}
+
+// Unpack lets f read what Pack wrote.
+func (p Packed) Unpack(f func(*msgpack.Decoder) error) error {
+	dec := msgpack.NewDecoder(base64.NewDecoder(base64.RawStdEncoding, strings.NewReader(string(p))))
+	if err := f(dec); err != nil {
+		return fmt.Errorf("unpacking: %w", err)
+	}
+	return nil
+}
+
+// PackedLen is the length of n bytes once they are packed.
+func PackedLen(n int) int { return base64.RawStdEncoding.EncodedLen(n) }
+
+// ArrayLen reads the head of a list and bounds what it claims.
+func ArrayLen(d *msgpack.Decoder) (int, error) {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return 0, err
+	}
+	if n > maxElements {
+		return 0, fmt.Errorf("list of %d elements", n)
+	}
+	return max(n, 0), nil
+}
