Let a round's cost follow what it places, and its pace what it costs

Cause: for each job a round sorted all machines with comparisons that looked over their placements, and for each task without room it listed and sorted the placements of all machines anew; renting counted the machines of a zone for every offer and job. Change: machines carry counts of what is on them; a shape that fits nowhere is not tried again in the plan; room for many tasks is made from one heap; the pace of rounds follows the looks of the last plan, a quarter of the processor.

--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -45,15 +45,27 @@
 	return statestore.Guard{Key: leadership.Key, Stamp: unit.Version(t.epoch)}
 }
 
+const (
+	// lookCost is about what it takes to look at one machine for one job.
+	lookCost = 60 * time.Nanosecond
+	// planShare is the part of the node's processor that planning may take.
+	planShare = 0.25
+)
+
 // gap is the least time between two rounds. It grows as the write budget
-// shrinks, so that rounds come seldomer and decide more each.
+// shrinks, and with what the last plan cost of the processor, so that rounds
+// come seldomer and decide more each.
 func (t *term) gap(now unit.Instant) time.Duration {
-	g := t.c.pol.RoundGap
+	cpu := t.c.set.Params.MachineLimits.CPU
+	if cpu <= 0 {
+		cpu = 1
+	}
+	g := max(t.c.pol.RoundGap, time.Duration(float64(t.planCost)/(cpu*planShare)))
 	switch level := t.c.budget.WritesFor(now, statestore.UseRound); {
 	case level < 2:
-		return 16 * g
+		return max(g, 16*t.c.pol.RoundGap)
 	case level < 4:
-		return 6 * g
+		return max(g, 6*t.c.pol.RoundGap)
 	}
 	return g
 }
@@ -71,6 +83,7 @@
 	}
 	t.dirty, t.lastRound, t.nextPlan = false, now, now.Add(time.Second)
 	plan := round.Make(t.world(now, no))
+	t.planCost = time.Duration(plan.Work) * lookCost
 	if plan.Vacate != "" {
 		t.lastVacate = now
 		t.fleet.Machine(plan.Vacate).Vacating = true
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -36,6 +36,7 @@
 
 	dirty      bool // something changed since the last plan
 	lastRound  unit.Instant
+	planCost   time.Duration // of processor time, about, for the last plan
 	nextPlan   unit.Instant
 	flight     *flight
 	fold       *foldFlight
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,6 +53,7 @@
 	Vacating   bool // is being emptied, to be returned
 
 	places  map[placeKey]*checkpoint.Placement
+	live    Load
 	strays  map[placeKey]Entry // of jobs not known, or a second copy of a task
 	used    checkpoint.Resources
 	images  map[unit.Image]cached
@@ -60,6 +61,36 @@
 	probed  unit.Instant // when it was last sent an empty command
 }
 
+// Load counts the placements that may exist on a machine, so that a round need
+// not look at each.
+type Load struct {
+	Tasks    int
+	Services int
+	Halting  int
+	// ByPriority counts by the job's priority.
+	ByPriority [checkpoint.Prod + 1]int
+}
+
+func (l *Load) count(p *checkpoint.Placement, n int) {
+	l.Tasks += n
+	l.ByPriority[p.Job.Spec.Priority] += n
+	if p.Job.Spec.Service {
+		l.Services += n
+	}
+	if p.Halting {
+		l.Halting += n
+	}
+}
+
+// Below counts the placements of lower priority.
+func (l *Load) Below(prio checkpoint.Priority) int {
+	n := 0
+	for _, k := range l.ByPriority[:prio] {
+		n += k
+	}
+	return n
+}
+
 // placeKey tells the attempts of a task apart: the tombstone of one must stay
 // while the next runs.
 type placeKey struct {
@@ -204,9 +235,15 @@
 // HasImage tells whether the image is known to be on the machine.
 func (m *Machine) HasImage(i unit.Image) bool { _, ok := m.images[i]; return ok }
 
+// Load returns the counts of the placements that may exist on the machine.
+func (m *Machine) Load() *Load { return &m.live }
+
 // Live returns the placements that may exist on the machine.
 func (m *Machine) Live() []*checkpoint.Placement {
-	var out []*checkpoint.Placement
+	if m.live.Tasks == 0 {
+		return nil
+	}
+	out := make([]*checkpoint.Placement, 0, m.live.Tasks)
 	for _, p := range m.places {
 		if p.State != checkpoint.Ended {
 			out = append(out, p)
@@ -217,25 +254,11 @@
 }
 
 // Busy tells whether any placement may exist on the machine.
-func (m *Machine) Busy() bool {
-	for _, p := range m.places {
-		if p.State != checkpoint.Ended {
-			return true
-		}
-	}
-	return m.strayRuns()
-}
+func (m *Machine) Busy() bool { return m.live.Tasks > 0 || m.strayRuns() }
 
 // Anchored tells whether a service runs on the machine, so that it won't be
 // returned soon anyway.
-func (m *Machine) Anchored() bool {
-	for _, p := range m.places {
-		if p.State != checkpoint.Ended && p.Job.Spec.Service {
-			return true
-		}
-	}
-	return false
-}
+func (m *Machine) Anchored() bool { return m.live.Services > 0 }
 
 func less(a, b unit.TaskID) bool {
 	if a.Job != b.Job {
@@ -249,6 +272,7 @@
 	m := f.Ensure(now, p.Machine)
 	m.places[keyOf(p)] = p
 	m.used = m.used.Plus(p.Job.Spec.Need())
+	m.live.count(p, 1)
 	p.Job.Start(p, m.Zone)
 }
 
@@ -265,6 +289,7 @@
 	}
 	m := f.machines[p.Machine]
 	m.used = m.used.Minus(p.Job.Spec.Need())
+	m.live.count(p, -1)
 	p.Job.End(now, p, m.Zone, requeue)
 	p.State = checkpoint.Ended
 	f.tombs++
@@ -567,6 +592,10 @@
 	if p.State == checkpoint.Ended || p.Halting && leave >= p.Leave {
 		return
 	}
+	m := f.machines[p.Machine]
+	if !p.Halting && m != nil {
+		m.live.Halting++
+	}
 	p.Halting, p.Leave = true, leave
 	if p.State == checkpoint.Pending && p.Seal == 0 {
 		f.Withdraw(now, p)
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -1,7 +1,10 @@
 package round
 
 import (
+	"cmp"
+	"container/heap"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -64,6 +67,9 @@
 	Vacate unit.MachineID
 	// Keep are idle machines that hold the room kept free for a class.
 	Keep map[unit.MachineID]bool
+	// Work counts the machines that were looked at, for one job or another:
+	// what the plan cost.
+	Work int
 }
 
 type bin struct {
@@ -75,6 +81,16 @@
 	// later is room that stops are making and nobody is promised yet. Nothing
 	// may start in it before their exits are seen.
 	later checkpoint.Resources
+	live  []*checkpoint.Placement // see running
+}
+
+// running lists the placements on the bin's machine. A plan changes none, so
+// they are listed once.
+func (b *bin) running() []*checkpoint.Placement {
+	if b.live == nil {
+		b.live = b.m.Live()
+	}
+	return b.live
 }
 
 // promise keeps room for one task: what is being made first, then what is free.
@@ -101,6 +117,7 @@
 	taken   map[*checkpoint.Placement]bool
 	rooms   map[*checkpoint.Job]checkpoint.Room
 	full    bool
+	nowhere map[shape]bool // what fits no machine
 
 	missing []shortage                  // of the room kept free
 	placed  map[*bin]int                // replicas given a place in this plan
@@ -109,13 +126,15 @@
 	demand  map[unit.Class]int          // tasks that found no room
 	guards  bool                        // some team has a guarantee
 	surplus float64                     // CPUs beyond what the guarantees want as machines
+	inZone  map[unit.Zone]int           // machines, coming ones too
 }
 
 // Make plans a round. It changes nothing it is given.
 func Make(w *World) *Plan {
 	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
 		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
-		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{}}
+		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
+		nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
@@ -231,7 +250,11 @@
 			p.bins = append(p.bins, &bin{m: m, typ: p.w.Fleet.Type(m.Type), zone: m.Zone, spot: m.Spot, free: p.w.Fleet.Free(m)})
 		}
 	}
+	for _, b := range p.bins {
+		p.inZone[b.zone]++
+	}
 	for _, c := range p.w.Coming {
+		p.inZone[c.Offer.Zone]++
 		if t := p.w.Fleet.Type(c.Offer.Type); t != nil {
 			p.come = append(p.come, &bin{typ: t, zone: c.Offer.Zone, spot: c.Offer.Spot, free: t.Capacity})
 		}
@@ -289,9 +312,7 @@
 			// The fetch alone would take too long: rather stop something
 			// where the image is.
 			rushed = true
-			for len(tasks) > 0 && p.makeRoom(j, true) {
-				tasks = tasks[1:]
-			}
+			tasks = tasks[p.makeRoom(j, len(tasks), true):]
 		}
 		if len(tasks) == 0 || p.full {
 			break
@@ -350,58 +371,105 @@
 	if b.m == nil {
 		return true
 	}
+	return !p.avoids(j, b)
+}
+
+// avoids tells whether the job has just failed on the bin's machine.
+func (p *planner) avoids(j *checkpoint.Job, b *bin) bool {
 	until, bad := j.Avoid[b.m.ID]
-	return !bad || until.Before(p.w.Now)
+	return bad && !until.Before(p.w.Now)
+}
+
+// candidate is a bin with what ranks it.
+type candidate struct {
+	b        *bin
+	image    bool
+	anchored bool
+	replicas int
 }
 
 // ranked returns the bins for the job, best first: those that hold the image,
 // then spot machines for tasks that may use them, then the most free room.
 func (p *planner) ranked(j *checkpoint.Job) []*bin {
-	need := j.Spec.Need()
-	var out []*bin
-	for _, b := range p.bins {
-		if b.free.Fits(need) && p.allowed(j, b) && p.mayUse(j, b) {
-			out = append(out, b)
-		}
+	need, shape := j.Spec.Need(), shapeOf(&j.Spec)
+	if p.nowhere[shape] {
+		return nil
 	}
-	sort.SliceStable(out, func(a, c int) bool {
-		x, y := out[a], out[c]
-		if hx, hy := x.m.HasImage(j.Spec.Image), y.m.HasImage(j.Spec.Image); hx != hy {
-			return hx
-		}
-		if p.w.Policy.PreferSpot && x.spot != y.spot {
-			return x.spot
-		}
-		if !x.m.HasImage(j.Spec.Image) {
-			return x.free.CPUs > y.free.CPUs
+	p.plan.Work += len(p.bins)
+	var found []candidate
+	fits := false
+	for _, b := range p.bins {
+		if !b.free.Fits(need) || !j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+			continue
 		}
-		// Among those that hold the image, the fullest: so that others run
-		// empty and can be returned.
-		if ax, ay := x.m.Anchored(), y.m.Anchored(); ax != ay {
-			return ax
+		fits = true
+		if p.avoids(j, b) || !p.mayUse(j, b) {
+			continue
 		}
-		// Replicas go where fewest are: a machine that dies takes few of them.
+		c := candidate{b: b, image: b.m.HasImage(j.Spec.Image), anchored: b.m.Anchored()}
 		if j.Spec.Service {
-			if rx, ry := p.replicas(x), p.replicas(y); rx != ry {
-				return rx < ry
-			}
+			c.replicas = p.replicas(b)
 		}
-		return x.free.CPUs < y.free.CPUs
-	})
+		found = append(found, c)
+	}
+	// Within a plan free room only shrinks: what fits nowhere now need not be
+	// tried again for the next job of the same shape.
+	p.nowhere[shape] = !fits
+	slices.SortStableFunc(found, func(x, y candidate) int { return p.compare(j, x, y) })
+	out := make([]*bin, len(found))
+	for i, c := range found {
+		out[i] = c.b
+	}
 	return out
 }
 
-// replicas counts the service tasks on the bin's machine, or about to be there.
-func (p *planner) replicas(b *bin) int {
-	n := p.placed[b]
-	for _, v := range b.m.Live() {
-		if v.Job.Spec.Service {
-			n++
-		}
+func (p *planner) compare(j *checkpoint.Job, x, y candidate) int {
+	switch {
+	case x.image != y.image:
+		return first(x.image)
+	case p.w.Policy.PreferSpot && x.b.spot != y.b.spot:
+		return first(x.b.spot)
+	case !x.image:
+		return cmp.Compare(y.b.free.CPUs, x.b.free.CPUs)
+	// Among those that hold the image, the fullest: so that others run empty
+	// and can be returned.
+	case x.anchored != y.anchored:
+		return first(x.anchored)
+	// Replicas go where fewest are: a machine that dies takes few of them.
+	case x.replicas != y.replicas:
+		return cmp.Compare(x.replicas, y.replicas)
 	}
-	return n
+	return cmp.Compare(x.b.free.CPUs, y.b.free.CPUs)
+}
+
+// first orders what is so before what isn't.
+func first(so bool) int {
+	if so {
+		return -1
+	}
+	return 1
 }
 
+// shape is what decides on which machines a task may go, leaving aside where
+// the job's other tasks are.
+type shape struct {
+	need  checkpoint.Resources
+	zone  unit.Zone
+	spot  bool
+	types string
+}
+
+func shapeOf(s *checkpoint.Spec) shape {
+	types := ""
+	for _, t := range s.Types {
+		types += string(t) + " "
+	}
+	return shape{need: s.Need(), zone: s.Zone, spot: s.Spot, types: types}
+}
+
+// replicas counts the service tasks on the bin's machine, or about to be there.
+func (p *planner) replicas(b *bin) int { return p.placed[b] + b.m.Load().Services }
+
 // start adds a group to the record, as far as the record has room, and
 // returns how many tasks it took.
 func (p *planner) start(j *checkpoint.Job, b *bin, tasks []unit.TaskIndex) int {
@@ -454,17 +522,16 @@
 func (p *planner) noRoom(j *checkpoint.Job, n int, guaranteed bool) int {
 	p.plan.Short += n
 	if guaranteed || p.mayPreempt(j) {
-		for n > 0 && p.makeRoom(j, false) {
-			n--
-		}
+		n -= p.makeRoom(j, n, false)
 	}
+	need := j.Spec.Need()
 	for _, b := range p.come {
 		if n == 0 {
 			break
 		}
 		// Work that can wait does not count on dear machines: they were rented
 		// for what can't.
-		if !j.Spec.Allows(b.typ.Name, b.zone, b.spot) || !p.guards && !p.worth(j, b.typ, b.spot) {
+		if !b.free.Fits(need) || !j.Spec.Allows(b.typ.Name, b.zone, b.spot) || !p.guards && !p.worth(j, b.typ, b.spot) {
 			continue
 		}
 		k := min(n, fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone))
@@ -536,42 +603,101 @@
 	return max(0, left-room)
 }
 
-// makeRoom finds the machine where room for one task of the job costs least
-// work, and stops what is in its way. Room that is already being made, or is
-// left there, is kept for the job. With holders only machines that hold the
-// image count.
-func (p *planner) makeRoom(j *checkpoint.Job, holders bool) bool {
-	var best *bin
-	var bestStops []*checkpoint.Placement
-	bestCost := math.Inf(1)
+// spot is where room for one task can be made, and what that costs.
+type spot struct {
+	b     *bin
+	stops []*checkpoint.Placement
+	cost  float64
+}
+
+// makeRoom makes room for up to n tasks of the job where that costs least
+// work, by stopping what is in their way, and returns for how many it did. Room
+// that is already being made, or is left there, is kept for the job. With
+// holders only machines that hold the image count.
+func (p *planner) makeRoom(j *checkpoint.Job, n int, holders bool) int {
+	if n <= 0 {
+		return 0
+	}
+	spots := &spots{}
+	borrowed := p.mayTakeBack(j)
+	p.plan.Work += len(p.bins)
 	for _, b := range p.bins {
-		if !p.allowed(j, b) || p.zoneRoom(j, b.zone) == 0 || holders && !b.m.HasImage(j.Spec.Image) {
+		if !b.yields(j, borrowed) || !p.allowed(j, b) || p.zoneRoom(j, b.zone) == 0 || holders && !b.m.HasImage(j.Spec.Image) {
 			continue
 		}
-		stops, cost, ok := p.victims(j, b)
-		if !b.m.HasImage(j.Spec.Image) {
-			cost += 1 + j.Spec.ImageGB*4
+		if s, ok := p.spotAt(j, b); ok {
+			*spots = append(*spots, s)
 		}
-		if ok && cost < bestCost {
-			best, bestStops, bestCost = b, stops, cost
+	}
+	heap.Init(spots)
+	made := 0
+	for made < n && spots.Len() > 0 {
+		// What was decided since may have changed what this one costs.
+		s, ok := p.spotAt(j, (*spots)[0].b)
+		switch {
+		case !ok || p.zoneRoom(j, s.b.zone) == 0:
+			heap.Pop(spots)
+		case s.cost > (*spots)[0].cost:
+			(*spots)[0] = s
+			heap.Fix(spots, 0)
+		default:
+			p.stop(j, s)
+			made++
 		}
 	}
-	if best == nil {
+	return made
+}
+
+// yields tells whether the bin can hold a task of the job at all after stops.
+func (b *bin) yields(j *checkpoint.Job, borrowed bool) bool {
+	l := b.m.Load()
+	return borrowed || l.Halting > 0 || l.Below(j.Spec.Priority) > 0 || b.free.Plus(b.later).Fits(j.Spec.Need())
+}
+
+// mayTakeBack tells whether work of any priority may be stopped for the job:
+// its team is within its guarantee, and another beyond its own.
+func (p *planner) mayTakeBack(j *checkpoint.Job) bool {
+	if !p.guards || !p.withinGuarantee(j) {
 		return false
 	}
-	for _, v := range bestStops {
+	for name, t := range p.w.Teams {
+		if name != j.Spec.Team && p.usage[name].Minus(p.giving[name]).CPUs > t.CPUs {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *planner) spotAt(j *checkpoint.Job, b *bin) (spot, bool) {
+	stops, cost, ok := p.victims(j, b)
+	if !b.m.HasImage(j.Spec.Image) {
+		cost += 1 + j.Spec.ImageGB*4
+	}
+	return spot{b, stops, cost}, ok
+}
+
+func (p *planner) stop(j *checkpoint.Job, s spot) {
+	for _, v := range s.stops {
 		p.taken[v] = true
-		best.later = best.later.Plus(v.Job.Spec.Need())
+		s.b.later = s.b.later.Plus(v.Job.Spec.Need())
 		if !v.Halting {
 			p.plan.Stops = append(p.plan.Stops, Stop{v, j.ID})
 			p.giving[v.Job.Spec.Team] = p.giving[v.Job.Spec.Team].Plus(v.Job.Spec.Need())
 		}
 	}
-	best.promise(j.Spec.Need())
-	p.count(j, best, 1)
-	return true
+	s.b.promise(j.Spec.Need())
+	p.count(j, s.b, 1)
 }
 
+// spots is a heap, the cheapest first.
+type spots []spot
+
+func (s spots) Len() int           { return len(s) }
+func (s spots) Less(a, b int) bool { return s[a].cost < s[b].cost }
+func (s spots) Swap(a, b int)      { s[a], s[b] = s[b], s[a] }
+func (s *spots) Push(x any)        { *s = append(*s, x.(spot)) }
+func (s *spots) Pop() any          { o := *s; x := o[len(o)-1]; *s = o[:len(o)-1]; return x }
+
 // victims returns what must stop on the bin's machine to fit one task of the
 // job, and what it costs in CPU seconds of lost work.
 func (p *planner) victims(j *checkpoint.Job, b *bin) ([]*checkpoint.Placement, float64, bool) {
@@ -596,7 +722,8 @@
 // already, then the lowest priority, then what loses least.
 func (p *planner) candidates(j *checkpoint.Job, b *bin) []*checkpoint.Placement {
 	var out []*checkpoint.Placement
-	for _, v := range b.m.Live() {
+	p.plan.Work += b.m.Load().Tasks
+	for _, v := range b.running() {
 		if !p.taken[v] && (v.Halting || p.mayStop(j, v)) {
 			out = append(out, v)
 		}
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -123,7 +123,7 @@
 		cost *= 2 + (run+wait-left)/run
 	}
 	// A second zone spreads the risk; the fewest machines first.
-	return cost * (1 + 0.001*float64(p.zoneMachines(z)))
+	return cost * (1 + 0.001*float64(p.inZone[z]))
 }
 
 func (p *planner) timeLeft(j *checkpoint.Job) (float64, bool) {
@@ -133,21 +133,6 @@
 	return j.Spec.DeadlineS - float64(p.w.WallMs-j.Accepted)/1000, true
 }
 
-func (p *planner) zoneMachines(z unit.Zone) int {
-	n := 0
-	for _, b := range p.bins {
-		if b.zone == z {
-			n++
-		}
-	}
-	for _, b := range p.come {
-		if b.zone == z {
-			n++
-		}
-	}
-	return n
-}
-
 const (
 	// urgentBelow, in seconds: work that can wait no longer than this beyond
 	// what a machine takes to come up is helped at any price.
@@ -308,7 +293,10 @@
 // task of the spec could have at once.
 func (p *planner) below(s *checkpoint.Spec, b *bin) checkpoint.Resources {
 	var sum checkpoint.Resources
-	for _, v := range b.m.Live() {
+	if b.m.Load().Below(s.Priority) == 0 {
+		return sum
+	}
+	for _, v := range b.running() {
 		if v.Job.Spec.Priority < s.Priority && v.Job.Spec.CheckpointS == 0 {
 			sum = sum.Plus(v.Job.Spec.Need())
 		}
@@ -369,10 +357,11 @@
 	var best *bin
 	var bestLive []*checkpoint.Placement
 	for _, b := range p.bins {
-		live := b.m.Live()
-		if len(live) == 0 || best != nil && len(live) >= len(bestLive) || b.typ.Capacity.CPUs > p.surplus {
+		l := b.m.Load()
+		if l.Tasks == 0 || l.Tasks != l.Services || best != nil && l.Tasks >= len(bestLive) || b.typ.Capacity.CPUs > p.surplus {
 			continue
 		}
+		live := b.running()
 		if p.movable(live) && p.fitElsewhere(b, live) {
 			best, bestLive = b, live
 		}
