Let another node store a submission that this one can't at once

Change: rounds and urgent folds leave one change for a submission; a refused one, or one not answered within 250 ms, goes to another node over the mesh. It is stored only if it does not exist, so the first to come stores it.

--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -383,7 +383,7 @@
 	use := statestore.UseFold
 	batch := late
 	if len(urgent) > 0 {
-		use, batch = statestore.UseSubmit, urgent
+		use, batch = statestore.UseRound, urgent
 	}
 	n := min(len(batch), t.c.budget.WritesFor(now, use), t.c.set.Params.State.TxnOps)
 	if n <= 0 {
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -95,8 +95,18 @@
 	n.answer(w, id, ans)
 }
 
-// runSubmit decides a submission. One that this node can't store for want of
-// the state service is handed to the others once.
+// hedgeAfter is how long a submission waits for the state service before
+// another node is asked to store it as well.
+const hedgeAfter = 250 * time.Millisecond
+
+// hedgeLast is how long a submission that this node refuses waits for another
+// to take it, at most: a refusal must come at once.
+const hedgeLast = 400 * time.Millisecond
+
+// runSubmit decides a submission. One that this node can't store at once, for
+// want of the state service or of its share of the writes, is handed to the
+// others too: a job is stored only if it does not exist, so whichever node
+// comes first stores it, and the rest find it there.
 func (n *Node) runSubmit(ctx context.Context, data []byte, forward bool) (unit.JobID, intake.Answer) {
 	sub, err := intake.DecodeSubmission(data)
 	if err != nil {
@@ -104,13 +114,51 @@
 		return "", intake.Answer{Code: http.StatusBadRequest}
 	}
 	req := intake.NewSubmit(sub, n.rules(), n.clock.Wall().UnixMilli())
-	ans := n.drive(ctx, sub.ID, req)
-	if ans.Code == http.StatusServiceUnavailable && forward && !n.stateReachable(time.Second) {
-		if other, ok := n.handOver(ctx, data); ok {
-			return sub.ID, other
+	if !forward {
+		return sub.ID, n.drive(ctx, sub.ID, req)
+	}
+	own := make(chan intake.Answer, 1)
+	go func() { own <- n.drive(ctx, sub.ID, req) }()
+	wait := hedgeAfter
+	if !n.stateReachable(time.Second) {
+		wait = 0
+	}
+	select {
+	case ans := <-own:
+		if ans.Code != http.StatusServiceUnavailable {
+			return sub.ID, ans
 		}
+		own <- ans
+	case <-time.After(wait):
 	}
-	return sub.ID, ans
+	return sub.ID, n.hedge(ctx, sub.ID, data, own)
+}
+
+// hedge hands a submission to the others and answers with what comes first
+// that accepts it; a refusal counts only once nobody is left to ask.
+func (n *Node) hedge(ctx context.Context, id unit.JobID, data []byte, own <-chan intake.Answer) intake.Answer {
+	others := make(chan intake.Answer, 1)
+	go func() { others <- n.handOver(ctx, id, data) }()
+	refusal := intake.Answer{Code: http.StatusServiceUnavailable, RetryAfter: time.Second}
+	var last <-chan time.Time
+	for range 2 {
+		select {
+		case ans := <-own:
+			if ans.Code != http.StatusServiceUnavailable {
+				return ans
+			}
+			refusal, last = ans, time.After(hedgeLast)
+		case ans := <-others:
+			if ans.Code == http.StatusOK || ans.Code == http.StatusCreated {
+				return ans
+			}
+		case <-last:
+			return refusal
+		case <-ctx.Done():
+			return refusal
+		}
+	}
+	return refusal
 }
 
 // stateReachable tells whether the state service has answered within d.
@@ -118,14 +166,30 @@
 	return n.clock.Now().Sub(unit.Instant(n.health.lastState.Load())) < d
 }
 
-func (n *Node) handOver(ctx context.Context, data []byte) (intake.Answer, bool) {
-	for _, name := range n.peers.Names() {
+// maxHandOver bounds how many others are asked to store a submission.
+const maxHandOver = 2
+
+// handOver asks others that the mesh reaches to store a submission. Each job
+// begins with another of them, so that a flood is spread.
+func (n *Node) handOver(ctx context.Context, id unit.JobID, data []byte) intake.Answer {
+	names := n.peers.Names()
+	first := int(id[len(id)-1])
+	asked := 0
+	for i := range names {
+		name := names[(first+i)%len(names)]
+		if asked == maxHandOver || !n.meshWorks(name) {
+			continue
+		}
+		asked++
 		reply, err := n.peers.Accept(ctx, name, data)
+		if ctx.Err() == nil {
+			n.noteMesh(name, err)
+		}
 		if err == nil && (reply.Status == http.StatusOK || reply.Status == http.StatusCreated) {
-			return intake.Answer{Code: int(reply.Status), Status: intake.Status{Standing: intake.Standing(reply.Body)}}, true
+			return intake.Answer{Code: int(reply.Status), Status: intake.Status{Standing: intake.Standing(reply.Body)}}
 		}
 	}
-	return intake.Answer{}, false
+	return intake.Answer{Code: http.StatusServiceUnavailable}
 }
 
 func (n *Node) rules() *intake.Rules {
--- a/internal/controller/server_test.go
+++ b/internal/controller/server_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +19,7 @@
 	"badgerbay/internal/config"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/leadership"
+	"badgerbay/internal/mesh"
 	"badgerbay/internal/policy"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/standin"
@@ -158,6 +160,41 @@
 	}
 }
 
+// TestSubmissionsGoToWhoCanStoreThem: a node that the state service does not
+// answer has another store the job, soon enough for its user; one that has no
+// changes left asks others before it refuses.
+func TestSubmissionsGoToWhoCanStoreThem(t *testing.T) {
+	b, other := newBench(t), newBench(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go mesh.Serve(l, &meshServer{n: other.n})
+	if b.n.peers, err = mesh.Dial([]config.Peer{{Label: "n1", PeerAddr: l.Addr().String()}}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.n.peers.Close)
+	hangs := make(chan struct{})
+	t.Cleanup(func() { close(hangs) })
+	b.srv.Answer = func(*http.Request) (*http.Response, error) { <-hangs; return nil, io.EOF }
+	begun := time.Now()
+	if w := b.call("POST", "/submissions", submission("wk-000001")); w.Code != 201 {
+		t.Errorf("%d although another node can store it", w.Code)
+	}
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Errorf("taken after %v", took)
+	}
+	if item, err := other.srv.State.Get(checkpoint.Key("wk-000001")); err != nil || item.Stamp == 0 {
+		t.Errorf("accepted and not stored: %v", err)
+	}
+	for b.n.budget.TakeWrites(b.clock.now, statestore.UseSubmit, 1) {
+	}
+	if w := b.call("POST", "/submissions", submission("wk-000002")); w.Code != 201 {
+		t.Errorf("%d with no changes left here, and some there", w.Code)
+	}
+}
+
 // endless is a body that never ends; reading much of it is an error.
 type endless struct{ read int }
 
--- a/internal/statestore/budget.go
+++ b/internal/statestore/budget.go
@@ -122,8 +122,12 @@
 	switch use {
 	case UseLead:
 		return -1 // may overdraw by one: leadership must not starve
-	case UseSubmit, UseRound:
+	case UseSubmit:
 		return 0
+	case UseRound:
+		// A submission that comes now finds a change left: a leader whose
+		// rounds and urgent folds took the last one refused a fifth of them.
+		return min(1, b.writes.size/4)
 	default:
 		return b.writes.size / 3
 	}
