--- a/internal/controller/cloud.go
+++ b/internal/controller/cloud.go
@@ -86,6 +86,7 @@
 	if !in.OK {
 		return
 	}
+	t.listRead = true
 	seen := map[unit.MachineID]bool{}
 	for _, l := range in.Machines {
 		seen[l.ID] = true
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -84,10 +84,10 @@
 	t.dirty, t.lastRound, t.nextPlan = false, now, now.Add(time.Second)
 	plan := round.Make(t.world(now, no))
 	t.planCost = time.Duration(plan.Work) * lookCost
-	if plan.Vacate != "" {
+	for _, id := range plan.Vacate {
 		t.lastVacate = now
-		t.fleet.Machine(plan.Vacate).Vacating = true
-		t.c.log.Info("emptying", "machine", plan.Vacate, "tasks", len(plan.Stops), "epoch", t.epoch)
+		t.fleet.Machine(id).Vacating = true
+		t.c.log.Info("emptying", "machine", id, "epoch", t.epoch)
 	}
 	for _, s := range plan.Stops {
 		t.c.log.Debug("task stopped to make room", "job", s.Placement.Job.ID, "task", s.Placement.Task, "machine", s.Placement.Machine, "for", s.For, "epoch", t.epoch)
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -44,6 +44,7 @@
 	lastSeal   unit.Instant
 	lastVacate unit.Instant
 	listing    bool
+	listRead   bool // the machine list has been read in this term
 	nextList   unit.Instant
 	nextTypes  unit.Instant
 	nextSweep  unit.Instant
@@ -260,7 +261,10 @@
 		return
 	}
 	interval := t.c.set.Params.Workers.ReportInterval()
-	if now.Sub(t.acquired) < interval+interval/2 && !t.nearlyAllHeard() {
+	// Where nothing was ever placed or rented, and the cloud lists nothing,
+	// nobody is left to wait for.
+	empty := t.listRead && t.ring.Fresh() && t.fleet.Len() == 0
+	if now.Sub(t.acquired) < interval+interval/2 && !t.nearlyAllHeard() && !empty {
 		return
 	}
 	t.ready, t.dirty = true, true
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -63,8 +63,8 @@
 	Short int
 	// HireFor is the job that the rental was decided for, if it was one.
 	HireFor unit.JobID
-	// Vacate is a machine to be emptied, so that it can be returned.
-	Vacate unit.MachineID
+	// Vacate are machines to be emptied, so that they can be returned.
+	Vacate []unit.MachineID
 	// Keep are idle machines that hold the room kept free for a class.
 	Keep map[unit.MachineID]bool
 	// Work counts the machines that were looked at, for one job or another:
@@ -82,6 +82,8 @@
 	// may start in it before their exits are seen.
 	later checkpoint.Resources
 	live  []*checkpoint.Placement // see running
+	// started: this plan starts tasks here.
+	started bool
 }
 
 // running lists the placements on the bin's machine. A plan changes none, so
@@ -123,10 +125,13 @@
 	placed  map[*bin]int                // replicas given a place in this plan
 	starts  map[*checkpoint.Job]float64 // see soonest
 	least   map[*checkpoint.Job]float64 // see cheapest
-	demand  map[unit.Class]int          // tasks that found no room
-	guards  bool                        // some team has a guarantee
-	surplus float64                     // CPUs beyond what the guarantees want as machines
-	inZone  map[unit.Zone]int           // machines, coming ones too
+	// demand counts the tasks of a class that found no room, those that wait
+	// for machines to come included: many small jobs that arrive one by one
+	// share large machines, as one large job would.
+	demand  map[unit.Class]int
+	guards  bool              // some team has a guarantee
+	surplus float64           // CPUs beyond what the guarantees want as machines
+	inZone  map[unit.Zone]int // machines, coming ones too
 }
 
 // Make plans a round. It changes nothing it is given.
@@ -134,7 +139,7 @@
 	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
 		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
-		nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{}}
+		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
@@ -161,9 +166,7 @@
 	p.rent(short)
 	p.rentSpare()
 	p.keepGuaranteed()
-	if len(short) == 0 {
-		p.consolidate()
-	}
+	p.consolidate(short)
 	return p.plan
 }
 
@@ -484,6 +487,7 @@
 	}
 	p.size += st.SizeOf()
 	p.plan.Record.Starts = append(p.plan.Record.Starts, st)
+	b.started = true
 	p.rooms[j] -= j.Cost(b.m.ID, len(tasks))
 	p.take(j, b, len(tasks))
 	return len(tasks)
@@ -521,6 +525,7 @@
 // are coming. It returns how many need a machine rented.
 func (p *planner) noRoom(j *checkpoint.Job, n int, guaranteed bool) int {
 	p.plan.Short += n
+	p.demand[j.Spec.Class] += n
 	if guaranteed || p.mayPreempt(j) {
 		n -= p.makeRoom(j, n, false)
 	}
--- a/internal/round/record.go
+++ b/internal/round/record.go
@@ -214,6 +214,10 @@
 // Next is the number of the next round, and whether its slot is free.
 func (g *Ring) Next() (unit.RoundNo, bool) { return g.next, !g.slotOf(g.next).open() }
 
+// Fresh tells whether no round was ever recorded: nothing has been rented or
+// placed by anybody.
+func (g *Ring) Fresh() bool { return g.next == 1 }
+
 // Version is the version of the slot that round no goes to.
 func (g *Ring) Version(no unit.RoundNo) unit.Version { return g.slotOf(no).version }
 
