--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -348,6 +348,7 @@
 func (t *term) silent(now unit.Instant) map[unit.MachineID]bool {
 	silent := map[unit.MachineID]bool{}
 	up, quiet := 0, 0
+	limit := t.silentLimit()
 	for _, m := range t.fleet.Machines() {
 		if !m.Up {
 			continue
@@ -357,7 +358,7 @@
 		if last > t.c.set.Params.Workers.ReportInterval()*3/2 {
 			quiet++
 		}
-		if last > t.c.pol.SilentAfter {
+		if last > limit {
 			silent[m.ID] = true
 		}
 	}
@@ -370,6 +371,14 @@
 	return silent
 }
 
+// silentLimit is how long a worker may be silent before its machine is taken
+// for dead. It spans two reports, of which each may come a quarter late, and the
+// question in between: at six seconds fixed, with reports every five, healthy
+// machines were returned by the hundred with all that ran on them.
+func (t *term) silentLimit() time.Duration {
+	return max(t.c.pol.SilentAfter, 2*t.c.set.Params.Workers.ReportInterval())
+}
+
 // maxTxn keeps a transaction below the state service's limit of 64 KiB.
 const maxTxn = 40 << 10
 
--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -28,3 +28,21 @@
 		t.Errorf("%d of %d replicas of %s run, with machines that never come up", n, spread.Tasks, id)
 	}
 }
+
+// TestHealthyMachinesAreKept guards against an incident: with reports every
+// five seconds, give or take a quarter, machines whose report was a little late
+// were taken for dead after six and returned with all that ran on them.
+func TestHealthyMachinesAreKept(t *testing.T) {
+	s := newSim(t, 4)
+	s.set.Params.Workers.ReportS = 5
+	for _, n := range s.nodes {
+		s.crash(n, time.Millisecond)
+	}
+	id := s.submit(1, spread, 0)
+	s.run(40 * time.Second)
+	before := s.starts
+	s.run(10 * time.Minute)
+	if s.starts != before || len(s.on) != spread.Tasks {
+		t.Errorf("%d replicas of %s started anew on a quiet day, %d run", s.starts-before, id, len(s.on))
+	}
+}
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -490,7 +490,8 @@
 	}
 	w.Advance(s.now)
 	n, sent, shift, r := s.nodes[node], s.now, w.Shift, w.Report()
-	next := time.Duration(2250+s.rng.IntN(1500)) * time.Millisecond
+	interval := s.set.Params.Workers.ReportInterval()
+	next := interval*3/4 + time.Duration(s.rng.Int64N(int64(interval/2)))
 	answered := false
 	follow := func(node int, d time.Duration) {
 		if !answered {
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -23,7 +23,8 @@
 # how long a kind that the
 # cloud had none of is not asked for again; how many times its usual boot time
 # a machine may take, and at least how long, before it is given up; how long a
-# worker may be silent before its machine is given back.
+# worker may be silent before its machine is given back, and never less than two
+# report intervals.
 idle_return_s = 120
 idle_boots = 2
 idle_least_s = 25
