--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -16,6 +16,7 @@
 
 	"badgerbay/internal/config"
 	"badgerbay/internal/fleet"
+	"badgerbay/internal/intake"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/policy"
 	"badgerbay/internal/rental"
@@ -52,6 +53,7 @@
 	inbox  chan Input
 	view   atomic.Pointer[view]
 	health health
+	pace   *intake.Pace
 
 	kept       atomic.Bool // the machine types are stored
 	relays     relayDesk
@@ -74,6 +76,7 @@
 		worker: &http.Client{Transport: transport(1), Timeout: doTimeout},
 		inbox:  make(chan Input, inboxSize), relayOut: make(chan relayItem, relayQueue)}
 	n.health.hint.Store("")
+	n.pace = intake.NewPace(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.core = NewCore(set, pol, clock, n.budget, rng, log, n.met)
 	n.view.Store(&view{})
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -128,6 +128,9 @@
 		if ans.Code != http.StatusServiceUnavailable {
 			return sub.ID, ans
 		}
+		if n.pace.Flooded() {
+			return sub.ID, ans // the others are as well
+		}
 		own <- ans
 	case <-time.After(wait):
 	}
@@ -222,8 +225,11 @@
 			return act
 		case intake.Create:
 			res := n.create(ctx, id, act.Record)
-			if res == intake.Refused {
-				req.SetRetry(n.budget.WriteWait(n.clock.Now(), statestore.UseSubmit))
+			switch res {
+			case intake.Stored:
+				n.pace.Took()
+			case intake.Refused:
+				req.SetRetry(n.budget.WriteWait(n.clock.Now(), statestore.UseSubmit) + n.pace.Refused())
 			}
 			in = intake.Created{Result: res}
 		case intake.Load:
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -254,7 +254,8 @@
 }
 
 // reconciled decides when placing may begin: nearly all machines with
-// placements have reported to us, or a report interval and more has passed.
+// placements have reported to us, or a report interval has passed and the
+// quarter by which reports may be late.
 // Among hundreds some are always silent, and what they hold counts as there.
 func (t *term) reconciled(now unit.Instant) {
 	if t.ready {
@@ -264,7 +265,7 @@
 	// Where nothing was ever placed or rented, and the cloud lists nothing,
 	// nobody is left to wait for.
 	empty := t.listRead && t.ring.Fresh() && t.fleet.Len() == 0
-	if now.Sub(t.acquired) < interval+interval/2 && !t.nearlyAllHeard() && !empty {
+	if now.Sub(t.acquired) < interval+interval/4 && !t.nearlyAllHeard() && !empty {
 		return
 	}
 	t.ready, t.dirty = true, true
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,8 +1,10 @@
 package intake
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/vmihailenco/msgpack/v5"
@@ -219,3 +221,33 @@
 		}
 	})
 }
+
+// TestFloodIsSpreadOut: users who are refused in a flood come back at different
+// times, well within the minute for which they try; one who is refused alone
+// comes back soon.
+func TestFloodIsSpreadOut(t *testing.T) {
+	p := NewPace(rand.New(rand.NewPCG(1, 2)))
+	if d := p.Refused(); d > time.Second || p.Flooded() {
+		t.Errorf("refused alone, one is told to wait %v more", d)
+	}
+	early, late := 0, 0
+	for range 400 {
+		switch d := p.Refused(); {
+		case d > paceSpread:
+			t.Fatalf("told to wait %v", d)
+		case d < paceSpread/4:
+			early++
+		case d > paceSpread*3/4:
+			late++
+		}
+	}
+	if early < 50 || late < 50 || !p.Flooded() {
+		t.Errorf("%d come early and %d late, of 400", early, late)
+	}
+	for range 100 {
+		p.Took()
+	}
+	if p.Flooded() {
+		t.Error("still flooded when all are taken")
+	}
+}
--- a/internal/statestore/budget.go
+++ b/internal/statestore/budget.go
@@ -87,6 +87,9 @@
 	requestRate     float64
 	writeRate       float64
 	writes, request *Bucket
+	// hungry: rounds were left without a change by submissions. These wait
+	// until one is through, so that neither starves the other.
+	hungry bool
 }
 
 // NewBudget returns the budget of a follower among nodes.
@@ -123,28 +126,43 @@
 	case UseLead:
 		return -1 // may overdraw by one: leadership must not starve
 	case UseSubmit:
+		// In a flood of submissions, which took every change as it came, no
+		// round was written for 20 s.
+		if b.hungry {
+			return 1 + b.leave()
+		}
 		return 0
 	case UseRound:
-		// A submission that comes now finds a change left: a leader whose
-		// rounds and urgent folds took the last one refused a fifth of them.
-		return min(1, b.writes.size/4)
+		return b.leave()
 	default:
 		return b.writes.size / 3
 	}
 }
 
+// leave is what rounds and urgent folds leave to a submission that comes now:
+// a leader whose rounds took the last change refused a fifth of them.
+func (b *Budget) leave() float64 { return min(1, b.writes.size/4) }
+
 // TakeWrites takes n changes for the use.
 func (b *Budget) TakeWrites(now unit.Instant, use Use, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.writes.Take(now, float64(n), b.floor(use))
+	ok := b.writes.Take(now, float64(n), b.floor(use))
+	if use == UseRound {
+		b.hungry = !ok
+	}
+	return ok
 }
 
 // WritesFor tells how many changes the use may make now.
 func (b *Budget) WritesFor(now unit.Instant, use Use) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return max(0, int(b.writes.Level(now)-b.floor(use)))
+	n := max(0, int(b.writes.Level(now)-b.floor(use)))
+	if use == UseRound && n == 0 {
+		b.hungry = true
+	}
+	return n
 }
 
 // WriteWait tells how long until a change for the use may be made.
--- a/internal/statestore/client_test.go
+++ b/internal/statestore/client_test.go
@@ -137,6 +137,19 @@
 	if most := limit*secs + limit; float64(taken) > most || float64(taken) < 0.8*limit*secs {
 		t.Errorf("%d changes in %d s, limit %v a second", taken, secs, limit)
 	}
+	// However many submissions come, rounds get their changes.
+	rounds := 0
+	for range secs * 100 {
+		now = now.Add(10 * time.Millisecond)
+		for nodes[0].TakeWrites(now, statestore.UseSubmit, 1) {
+		}
+		if nodes[0].TakeWrites(now, statestore.UseRound, 1) {
+			rounds++
+		}
+	}
+	if rounds < secs {
+		t.Errorf("%d rounds in %d s of submissions", rounds, secs)
+	}
 	now = now.Add(time.Minute)
 	for nodes[0].TakeWrites(now, statestore.UseFold, 1) {
 	}
