--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -224,14 +224,7 @@
 		case intake.Answer:
 			return act
 		case intake.Create:
-			res := n.create(ctx, id, act.Record)
-			switch res {
-			case intake.Stored:
-				n.pace.Took()
-			case intake.Refused:
-				req.SetRetry(n.budget.WriteWait(n.clock.Now(), statestore.UseSubmit) + n.pace.Refused())
-			}
-			in = intake.Created{Result: res}
+			in = intake.Created{Result: n.create(ctx, id, req, act.Record)}
 		case intake.Load:
 			in = n.loadJob(ctx, id)
 		case intake.AskLeader:
@@ -240,10 +233,14 @@
 	}
 }
 
-func (n *Node) create(ctx context.Context, id unit.JobID, rec *checkpoint.Record) intake.CreateResult {
-	if !n.budget.TakeWrites(n.clock.Now(), statestore.UseSubmit, 1) {
+// create stores a job if it does not exist. Only refusals for want of changes
+// count for the pace: others may store what the state service refuses this node.
+func (n *Node) create(ctx context.Context, id unit.JobID, req *intake.Request, rec *checkpoint.Record) intake.CreateResult {
+	if now := n.clock.Now(); !n.budget.TakeWrites(now, statestore.UseSubmit, 1) {
+		req.SetRetry(n.budget.WriteWait(now, statestore.UseSubmit) + n.pace.Refused())
 		return intake.Refused
 	}
+	n.pace.Took()
 	key := checkpoint.Key(id)
 	_, err := n.store.Commit(ctx, statestore.Txn{
 		Guards: []statestore.Guard{{Key: key, Stamp: 0}},
