--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,6 +67,8 @@
 	Tasks    int
 	Services int
 	Halting  int
+	// ServiceCPUs is what the replicas hold.
+	ServiceCPUs float64
 	// ByPriority counts by the job's priority.
 	ByPriority [checkpoint.Prod + 1]int
 }
@@ -76,6 +78,7 @@
 	l.ByPriority[p.Job.Spec.Priority] += n
 	if p.Job.Spec.Service {
 		l.Services += n
+		l.ServiceCPUs += float64(n) * p.Job.Spec.CPUs
 	}
 	if p.Halting {
 		l.Halting += n
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -175,19 +175,84 @@
 	if j.Spec.DeadlineS > 0 {
 		left = min(left, j.Spec.DeadlineS-waited-runs*j.Spec.EstimateS)
 	}
-	if math.IsInf(left, 1) {
+	switch {
+	case !math.IsInf(left, 1):
+	case j.Begun():
+		// Nobody waits for the rest of it.
+		return unhurried
+	default:
 		left = unhurried - waited
 	}
 	return max(0, left)
 }
 
+// runTime is how long a task of the job is expected to run, in seconds.
+func runTime(j *checkpoint.Job) float64 {
+	if j.Spec.EstimateS <= 0 {
+		return serviceHorizon
+	}
+	return runs * j.Spec.EstimateS
+}
+
+// countWork sums up, in CPU seconds, what is left of the arrays that run.
+func (p *planner) countWork() {
+	for _, j := range p.w.All {
+		if !j.Spec.Service {
+			p.work[j.Spec.Priority] += float64(len(j.Live)) * j.Spec.CPUs * runTime(j) / 2
+		}
+	}
+}
+
+// queueWork notes what goes before the end of the job: what runs of its
+// priority and above, what is queued before it, and the job itself.
+func (p *planner) queueWork(j *checkpoint.Job) {
+	if j.Spec.Service || p.ahead[j] > 0 {
+		return
+	}
+	p.work[j.Spec.Priority] += float64(j.Queue.Len()) * j.Spec.CPUs * runTime(j)
+	sum := 0.0
+	for _, w := range p.work[j.Spec.Priority:] {
+		sum += w
+	}
+	p.ahead[j] = sum
+}
+
+// drain is how long, in seconds, the machines that are up or coming take to get
+// through what goes before the job's last start. A machine rented for work that
+// will have found room by then comes too late to help: in bursts hundreds of
+// dear ones came when those they were rented for were done.
+func (p *planner) drain(j *checkpoint.Job) float64 {
+	cpus, ok := p.usable[shapeOf(&j.Spec)]
+	if !ok {
+		for _, b := range p.bins {
+			if j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+				cpus += b.typ.Capacity.CPUs - b.m.Load().ServiceCPUs
+			}
+		}
+		for _, b := range p.come {
+			if j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+				cpus += b.typ.Capacity.CPUs
+			}
+		}
+		p.usable[shapeOf(&j.Spec)] = cpus
+	}
+	if cpus <= 0 {
+		return math.Inf(1)
+	}
+	return p.ahead[j] / cpus
+}
+
 // worth tells whether a machine of the kind may be rented for the job: work
 // that can wait is only given cheap ones.
 func (p *planner) worth(j *checkpoint.Job, t *fleet.Type, spot bool) bool {
 	if taskPrice(j, t, spot) <= cheap*p.cheapest(j) {
 		return true
 	}
-	if p.patience(j)-p.soonest(j) >= urgentBelow {
+	patience := p.patience(j)
+	if patience-p.soonest(j) >= urgentBelow {
+		return false
+	}
+	if j.Spec.Priority < checkpoint.High && !p.withinGuarantee(j) && p.drain(j) <= patience {
 		return false
 	}
 	start := startTime(j, t)
