--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -159,6 +159,9 @@
 	j.Touch(now)
 }
 
+// Begun tells whether any task of the job has been started or is done.
+func (j *Job) Begun() bool { return len(j.Live) > 0 || len(j.Done) > 0 }
+
 // Running counts the tasks that are seen running.
 func (j *Job) Running() int {
 	n := 0
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -132,6 +132,10 @@
 	guards  bool              // some team has a guarantee
 	surplus float64           // CPUs beyond what the guarantees want as machines
 	inZone  map[unit.Zone]int // machines, coming ones too
+
+	work   [checkpoint.Prod + 1]float64 // CPU seconds of arrays by priority, see countWork
+	ahead  map[*checkpoint.Job]float64  // see queueWork
+	usable map[shape]float64            // see drain
 }
 
 // Make plans a round. It changes nothing it is given.
@@ -139,10 +143,12 @@
 	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
 		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
-		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{}}
+		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{},
+		ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
+	p.countWork()
 	for _, t := range w.Teams {
 		p.guards = p.guards || t.CPUs > 0
 	}
@@ -151,6 +157,7 @@
 	var short []shortage
 	spared := false
 	for _, t := range p.queue {
+		p.queueWork(t.job)
 		if !spared && t.job.Spec.Priority < checkpoint.High {
 			// Before work that would yield to it takes the room.
 			spared = true
