--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -136,6 +136,7 @@
 	work   [checkpoint.Prod + 1]float64 // CPU seconds of arrays by priority, see countWork
 	ahead  map[*checkpoint.Job]float64  // see queueWork
 	usable map[shape]float64            // see drain
+	began  map[*checkpoint.Job]int      // tasks that this plan starts
 }
 
 // Make plans a round. It changes nothing it is given.
@@ -144,7 +145,7 @@
 		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
 		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{},
-		ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}}
+		ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
@@ -328,6 +329,9 @@
 			break
 		}
 		n := min(len(tasks), fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone))
+		if p.onlyOne(j, b) {
+			n = min(n, 1-min(1, p.began[j]))
+		}
 		if n = j.Fit(p.room(j), b.m.ID, n); n > 0 {
 			n = p.start(j, b, tasks[:n])
 			tasks = tasks[n:]
@@ -495,6 +499,7 @@
 	p.size += st.SizeOf()
 	p.plan.Record.Starts = append(p.plan.Record.Starts, st)
 	b.started = true
+	p.began[j] += len(tasks)
 	p.rooms[j] -= j.Cost(b.m.ID, len(tasks))
 	p.take(j, b, len(tasks))
 	return len(tasks)
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -57,6 +57,9 @@
 			}
 		}
 		n := min(s.n, p.zoneRoom(s.job, o.Zone))
+		if p.needsOnlyBegin(s.job) && !p.isCheap(s.job, t, o.Spot) {
+			n = min(n, 1)
+		}
 		for ; n > 0; n-- {
 			if !free.Fits(s.job.Spec.Need()) {
 				if count == rental.MaxHire {
@@ -245,7 +248,7 @@
 // worth tells whether a machine of the kind may be rented for the job: work
 // that can wait is only given cheap ones.
 func (p *planner) worth(j *checkpoint.Job, t *fleet.Type, spot bool) bool {
-	if taskPrice(j, t, spot) <= cheap*p.cheapest(j) {
+	if p.isCheap(j, t, spot) {
 		return true
 	}
 	patience := p.patience(j)
@@ -261,6 +264,19 @@
 	return !has || j.Spec.Priority >= checkpoint.High || left >= start+hopeful*j.Spec.EstimateS
 }
 
+// isCheap tells whether a task of the job costs about the least on the kind.
+func (p *planner) isCheap(j *checkpoint.Job, t *fleet.Type, spot bool) bool {
+	return taskPrice(j, t, spot) <= cheap*p.cheapest(j)
+}
+
+// needsOnlyBegin tells whether nothing is expected of the job but that it
+// begins some time: one task on a dear machine does for that. Old jobs of the
+// lowest priority had hundreds of dear machines rented for all their tasks.
+func (p *planner) needsOnlyBegin(j *checkpoint.Job) bool {
+	return j.Spec.Priority < checkpoint.High && !j.Spec.Service && j.Spec.DeadlineS <= 0 &&
+		p.w.Expect[j.Spec.Class] == Expect{} && !j.Begun()
+}
+
 // startTime is how long, in seconds, a new machine takes to run the job.
 func startTime(j *checkpoint.Job, t *fleet.Type) float64 {
 	start := t.Boot.Seconds()
@@ -293,7 +309,13 @@
 	if j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.patience(j) < patient || p.guards {
 		return true
 	}
-	return b.m.Anchored() || taskPrice(j, b.typ, b.spot) <= cheap*p.cheapest(j)
+	return b.m.Anchored() || p.isCheap(j, b.typ, b.spot)
+}
+
+// onlyOne tells whether the bin may take but one task of the job, and none if
+// the plan has started some already.
+func (p *planner) onlyOne(j *checkpoint.Job, b *bin) bool {
+	return p.needsOnlyBegin(j) && !p.guards && !b.m.Anchored() && !p.isCheap(j, b.typ, b.spot)
 }
 
 func taskPrice(j *checkpoint.Job, t *fleet.Type, spot bool) float64 {
