Hand leadership only to who brings more workers, which takes it even at rest

And old jobs of low priority had a dear machine rented each round, since those that were coming for them did not count.

--- a/internal/controller/reach.go
+++ b/internal/controller/reach.go
@@ -79,6 +79,12 @@
 			best = node
 		}
 	}
+	// Right after a takeover most may still be on their way here: whoever is
+	// to lead must bring more than come by themselves. A leader that did not
+	// wait for that passed leadership to the wrong side of a cut.
+	if through[best] <= direct {
+		return ""
+	}
 	return best
 }
 
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -132,13 +132,23 @@
 		if heir := alone.heir(now, 100); heir != "" {
 			t.Fatalf("leaves it to %q, which nobody comes through", heir)
 		}
-		for i := range 6 {
+		for i := range 16 {
 			r.note(now, unit.MachineID(fmt.Sprintf("far-%d", i)), "n2")
 		}
 		if heir := r.heir(now, 100); (heir == "n2") != (now.Sub(begun) >= reachPatience) {
 			t.Fatalf("heir %q after %v", heir, now.Sub(begun))
 		}
 	}
+	fewer := reach{}
+	for now := begun; now.Sub(begun) < 20*time.Second; now = now.Add(time.Second) {
+		for i := range 10 {
+			fewer.note(now, unit.MachineID(fmt.Sprintf("near-%d", i)), "")
+			fewer.note(now, unit.MachineID(fmt.Sprintf("far-%d", i)), "n2")
+		}
+		if heir := fewer.heir(now, 100); heir != "" {
+			t.Fatalf("leaves it to %q, which brings no more than come here", heir)
+		}
+	}
 	now := begun.Add(20 * time.Second)
 	for i := range 50 {
 		r.note(now, unit.MachineID(fmt.Sprintf("near-%d", i)), "")
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -293,10 +293,9 @@
 // surely dead, or a leader that handed over to it; the guard on the stamp keeps
 // the change from hitting anybody else's key.
 func (m *Machine) mayStand(now unit.Instant) bool {
-	if now.Before(m.restTill) {
-		return false
-	}
-	return m.stamp == 0 || m.seen.Node == m.node
+	// A key handed over to this node is taken even while it rests from one
+	// that it gave up: else it stays without a leader.
+	return m.stamp == 0 && !now.Before(m.restTill) || m.stamp != 0 && m.seen.Node == m.node
 }
 
 func (m *Machine) granted(now unit.Instant, in Granted) []Effect {
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -152,6 +152,15 @@
 	if e := heir.Step(t0, seen); len(e) != 1 {
 		t.Fatal("the heir does not stand")
 	}
+	// One that rests itself takes what is handed to it, and nothing else.
+	rests := elect(t, 4)
+	rests.Step(t0, Resign{Rest: time.Minute, Heir: "n1"})
+	if e := rests.Step(t0, KeyRead{OK: true}); len(e) != 0 {
+		t.Error("stands while it rests")
+	}
+	if e := rests.Step(t0, KeyRead{OK: true, Holder: Holder{Node: "n0", Nonce: "x"}, Stamp: 9}); len(e) != 1 {
+		t.Error("leaves a key that was handed to it")
+	}
 	acquire := heir.Step(t0, Granted{OK: true, Tenure: 8, Sent: t0})
 	if a, ok := acquire[0].(Acquire); !ok || a.Prev != 6 {
 		t.Errorf("%+v", acquire)
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -137,6 +137,8 @@
 	ahead  map[*checkpoint.Job]float64  // see queueWork
 	usable map[shape]float64            // see drain
 	began  map[*checkpoint.Job]int      // tasks that this plan starts
+	// promised counts the tasks of a job that wait for machines to come.
+	promised map[*checkpoint.Job]int
 }
 
 // Make plans a round. It changes nothing it is given.
@@ -145,7 +147,7 @@
 		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
 		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{},
-		ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}}
+		ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}, promised: map[*checkpoint.Job]int{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
@@ -552,6 +554,10 @@
 			continue
 		}
 		k := min(n, fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone))
+		if p.needsOnlyBegin(j) && !p.isCheap(j, b.typ, b.spot) {
+			k = min(k, 1-min(1, p.promised[j]))
+		}
+		p.promised[j] += k
 		p.take(j, b, k)
 		n -= k
 	}
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -58,7 +58,7 @@
 		}
 		n := min(s.n, p.zoneRoom(s.job, o.Zone))
 		if p.needsOnlyBegin(s.job) && !p.isCheap(s.job, t, o.Spot) {
-			n = min(n, 1)
+			n = min(n, 1-min(1, p.promised[s.job]))
 		}
 		for ; n > 0; n-- {
 			if !free.Fits(s.job.Spec.Need()) {
