--- a/internal/controller/cloud.go
+++ b/internal/controller/cloud.go
@@ -58,6 +58,7 @@
 		}
 		known := t.fleet.Machine(id) != nil
 		m := t.fleet.Ensure(now, id)
+		m.Vouched = true
 		if !known {
 			m.Type, m.Zone, m.Spot, m.Born = in.Offer.Type, in.Offer.Zone, in.Offer.Spot, in.Sent
 		}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -128,9 +128,6 @@
 		if ans.Code != http.StatusServiceUnavailable {
 			return sub.ID, ans
 		}
-		if n.pace.Flooded() {
-			return sub.ID, ans // the others are as well
-		}
 		own <- ans
 	case <-time.After(wait):
 	}
@@ -172,14 +169,31 @@
 // maxHandOver bounds how many others are asked to store a submission.
 const maxHandOver = 2
 
-// handOver asks others that the mesh reaches to store a submission. Each job
-// begins with another of them, so that a flood is spread.
-func (n *Node) handOver(ctx context.Context, id unit.JobID, data []byte) intake.Answer {
+// takers are the nodes that may store a submission that this one can't: any
+// other, the first another for each job, so that none gets them all. In a flood
+// the others have nothing left; but the leader's share is the largest, and users
+// of the other nodes must not wait for longer than its own. Without that some
+// ran out of the minute for which they try.
+func (n *Node) takers(id unit.JobID) []string {
 	names := n.peers.Names()
+	if leader := n.leader(); n.pace.Flooded() {
+		if leader == "" || leader == n.set.Label {
+			return nil
+		}
+		return []string{leader}
+	}
 	first := int(id[len(id)-1])
-	asked := 0
+	out := make([]string, 0, len(names))
 	for i := range names {
-		name := names[(first+i)%len(names)]
+		out = append(out, names[(first+i)%len(names)])
+	}
+	return out
+}
+
+// handOver asks others that the mesh reaches to store a submission.
+func (n *Node) handOver(ctx context.Context, id unit.JobID, data []byte) intake.Answer {
+	asked := 0
+	for _, name := range n.takers(id) {
 		if asked == maxHandOver || !n.meshWorks(name) {
 			continue
 		}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -231,6 +231,7 @@
 // may not have been launched, under any seal below ours.
 func (t *term) restore(now unit.Instant, j *checkpoint.Job, g checkpoint.Group) {
 	m := t.fleet.Ensure(now, g.Machine)
+	m.Vouched = true
 	m.Shift = max(m.Shift, g.Shift)
 	g.Tasks.Each(func(i unit.TaskIndex) bool {
 		if int(i) >= j.Spec.Tasks || j.Done.Has(i) {
@@ -346,7 +347,7 @@
 }
 
 func (t *term) doDone(now unit.Instant, in DoDone) {
-	t.fleet.Pushed(in.Machine)
+	t.fleet.Pushed(now, in.Machine, in.Report != nil)
 	if in.Report == nil || in.Report.Machine != in.Machine || t.fleet.Machine(in.Machine) == nil {
 		return
 	}
@@ -536,7 +537,7 @@
 
 // probe sends commands to machines that have missed a report.
 func (t *term) probe(now unit.Instant) {
-	for _, m := range t.fleet.Probes(now) {
+	for _, m := range append(t.fleet.Probes(now), t.fleet.Strangers(now)...) {
 		t.c.emit(Do{Machine: m.ID, Addr: m.Addr, Epoch: t.epoch, Shift: m.Shift, Orders: t.fleet.Orders(now, m, false)})
 	}
 }
@@ -546,7 +547,7 @@
 	for _, m := range t.fleet.Pushes() {
 		orders := t.fleet.Orders(now, m, false)
 		if len(orders) == 0 {
-			t.fleet.Pushed(m.ID)
+			t.fleet.Pushed(now, m.ID, true)
 			continue
 		}
 		t.c.emit(Do{Machine: m.ID, Addr: m.Addr, Epoch: t.epoch, Shift: m.Shift, Orders: orders})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,12 @@
 	Suspect    int // tasks that failed here in a row
 	Drained    bool
 	Vacating   bool // is being emptied, to be returned
+	// Vouched tells that the machine surely exists: a record or a rental names
+	// it, it has answered a command, or has reported the seal of this leader.
+	// Until then a report may be a copy that was long on its way.
+	Vouched bool
+	unheard int          // commands in a row that it did not answer
+	missed  unit.Instant // when it did not answer the last of them
 
 	places  map[placeKey]*checkpoint.Placement
 	live    Load
@@ -154,13 +160,14 @@
 	jobs     func(unit.JobID) *checkpoint.Job
 	takeover unit.Instant
 	epoch    unit.Epoch
+	first    unit.Epoch // with which the leader began
 	tombs    int
 	gone     map[unit.MachineID]unit.Instant // machines surely gone, and since when
 }
 
 // New returns an empty fleet of a leader that acquired its epoch at takeover.
 func New(times Times, epoch unit.Epoch, takeover unit.Instant, jobs func(unit.JobID) *checkpoint.Job) *Fleet {
-	return &Fleet{times: times, epoch: epoch, takeover: takeover, jobs: jobs,
+	return &Fleet{times: times, epoch: epoch, first: epoch, takeover: takeover, jobs: jobs,
 		types: map[unit.MachineType]*Type{}, machines: map[unit.MachineID]*Machine{}, due: map[*Machine]struct{}{},
 		gone: map[unit.MachineID]unit.Instant{}}
 }
@@ -234,9 +241,18 @@
 	return t.Capacity.Minus(m.used)
 }
 
+const (
+	// maxUnheard commands in a row without an answer, a machine gets no task:
+	// nothing may reach it although its reports arrive. Guards against placing
+	// on such a machine again in each of its shifts.
+	maxUnheard = 2
+	// unheardFor is how long that counts: reports may be answered again.
+	unheardFor = time.Minute
+)
+
 // Placeable tells whether the machine may get tasks.
 func (f *Fleet) Placeable(m *Machine) bool {
-	return m.Up && !m.Releasing && !m.Gone && !m.Failed && m.NoticeAt == 0 && !m.Drained && !m.Vacating &&
+	return m.Up && m.Vouched && m.unheard < maxUnheard && !m.Releasing && !m.Gone && !m.Failed && m.NoticeAt == 0 && !m.Drained && !m.Vacating &&
 		!m.strayRuns() && f.types[m.Type] != nil
 }
 
@@ -326,13 +342,20 @@
 // the worker's lease is going to be renewed by an answer that leaves now.
 func (f *Fleet) Take(now unit.Instant, r *Report, answered bool) Changes {
 	m := f.Ensure(now, r.Machine)
-	if answered {
-		// Conservative: even an old report that gets an answer counts.
-		m.LastAnswer = now
-	}
 	if r.Shift < m.Shift || r.Shift == m.Shift && r.Tally <= m.Tally || m.Gone {
+		if answered {
+			// Even an old report that gets an answer may renew the lease, but
+			// from when it was sent: before the newest that is known. Copies of
+			// the reports of a dead machine must not keep its lease alive.
+			m.LastAnswer = max(m.LastAnswer, m.LastReport)
+		}
 		return Changes{Stale: true}
 	}
+	if answered {
+		m.LastAnswer = now
+	} else {
+		m.Vouched = true
+	}
 	var c Changes
 	c.NewUp = !m.Up
 	if r.Shift > m.Shift {
@@ -364,6 +387,10 @@
 	m.Addr, m.Type, m.Spot = r.Addr, r.Type, r.Spot
 	m.Shift, m.Tally = r.Shift, r.Tally
 	m.Seal = max(m.Seal, r.Seal)
+	m.Vouched = m.Vouched || r.Seal >= f.first
+	if now.Sub(m.missed) > unheardFor {
+		m.unheard = 0
+	}
 	m.Up, m.LastReport = true, now
 }
 
@@ -653,10 +680,32 @@
 }
 
 // Pushed notes that a direct command was answered, or given up.
-func (f *Fleet) Pushed(id unit.MachineID) {
-	if m := f.machines[id]; m != nil {
-		m.pushing = false
+func (f *Fleet) Pushed(now unit.Instant, id unit.MachineID, answered bool) {
+	m := f.machines[id]
+	if m == nil {
+		return
+	}
+	m.pushing = false
+	if answered {
+		m.unheard = 0
+		return
 	}
+	m.unheard++
+	m.missed = now
+}
+
+// Strangers returns machines that have reported and that nothing vouches for,
+// and marks them as being sent a command: an empty one, which only a machine
+// that exists answers.
+func (f *Fleet) Strangers(now unit.Instant) []*Machine {
+	var out []*Machine
+	for _, m := range f.Machines() {
+		if m.Up && !m.Vouched && !m.pushing && m.Addr != "" && m.unheard < maxUnheard {
+			m.pushing, m.probed = true, now
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
 // Orders are the commands the machine is due: halts, launches and, in the
--- a/internal/intake/pace.go
+++ b/internal/intake/pace.go
@@ -20,7 +20,7 @@
 	paceMemory = 0.05
 	// paceSpread is over how long users are spread if nearly all are refused.
 	// It is short beside the minute for which they try.
-	paceSpread = 8 * time.Second
+	paceSpread = 4 * time.Second
 	// flooded is the share from which it is of no use to ask other nodes.
 	flooded = 0.5
 )
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -197,10 +197,29 @@
 }
 
 // turn is a job's place in the order. A job has two turns if only some of its
-// tasks fit its team's guarantee: those come first.
+// tasks fit its team's guarantee: those come first. One that has waited long
+// and has nothing running has a turn for one task before all work below High.
 type turn struct {
 	job        *checkpoint.Job
 	guaranteed bool
+	first      bool
+}
+
+// rank orders turns by priority, the highest first.
+func (t turn) rank() int {
+	if t.first {
+		return 2*int(checkpoint.High) - 1
+	}
+	return 2 * int(t.job.Spec.Priority)
+}
+
+// neglected, in seconds: a job that has waited so long without any task begun
+// goes before others, so that nothing waits for ever behind what goes first.
+const neglected = 100
+
+func (p *planner) isNeglected(j *checkpoint.Job) bool {
+	return j.Spec.Priority < checkpoint.High && !j.Spec.Gang && !j.Begun() &&
+		float64(p.w.WallMs-j.Accepted) >= neglected*1000
 }
 
 // order sorts the jobs: by priority, then work within a team's guarantee
@@ -208,6 +227,9 @@
 func (p *planner) order() {
 	for _, j := range p.w.Jobs {
 		p.queue = append(p.queue, turn{job: j})
+		if p.isNeglected(j) {
+			p.queue = append(p.queue, turn{job: j, first: true})
+		}
 		if p.withinGuarantee(j) && !j.Spec.Gang {
 			p.queue = append(p.queue, turn{job: j, guaranteed: true})
 		}
@@ -215,8 +237,8 @@
 	sort.SliceStable(p.queue, func(a, b int) bool {
 		x, y := p.queue[a], p.queue[b]
 		switch {
-		case x.job.Spec.Priority != y.job.Spec.Priority:
-			return x.job.Spec.Priority > y.job.Spec.Priority
+		case x.rank() != y.rank():
+			return x.rank() > y.rank()
 		case x.guaranteed != y.guaranteed:
 			return x.guaranteed
 		case x.job.Accepted != y.job.Accepted:
@@ -310,6 +332,9 @@
 	if t.guaranteed {
 		left = min(left, p.guaranteed(j))
 	}
+	if t.first {
+		left = min(left, 1)
+	}
 	if left <= 0 || p.full {
 		return 0
 	}
@@ -765,6 +790,9 @@
 }
 
 func (p *planner) mayStop(j *checkpoint.Job, v *checkpoint.Placement) bool {
+	if j.Spec.Priority < checkpoint.High && p.onlyPart(v) {
+		return false
+	}
 	if v.Job.Spec.Priority < j.Spec.Priority {
 		return true
 	}
@@ -779,6 +807,14 @@
 	return left.CPUs >= t.CPUs-1e-6
 }
 
+// onlyPart tells whether the placement is all that runs of a job that waited
+// long for it and has nothing done: it is let run to its end.
+func (p *planner) onlyPart(v *checkpoint.Placement) bool {
+	j := v.Job
+	return len(j.Live) == 1 && len(j.Done) == 0 && !j.Spec.Service &&
+		float64(p.w.WallMs-j.Accepted) >= neglected*1000
+}
+
 // lost is the work, in CPU seconds, that stopping a placement throws away.
 func (p *planner) lost(v *checkpoint.Placement) float64 {
 	if v.Halting {
