--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -91,7 +91,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), submitBudget)
 	defer cancel()
+	begun := n.clock.Now()
 	id, ans := n.runSubmit(ctx, data, true)
+	if took := n.clock.Now().Sub(begun); ans.Code >= http.StatusTooManyRequests || took > slowSubmit {
+		n.log.Debug("submission not taken soon", "job", id, "status", ans.Code, "took", took, "retry", ans.RetryAfter, "state_reached", n.stateReachable(time.Second))
+	}
 	n.answer(w, id, ans)
 }
 
@@ -166,6 +170,9 @@
 	return n.clock.Now().Sub(unit.Instant(n.health.lastState.Load())) < d
 }
 
+// slowSubmit is how long a submission may take without being logged.
+const slowSubmit = 500 * time.Millisecond
+
 // maxHandOver bounds how many others are asked to store a submission.
 const maxHandOver = 2
 
