Begin all tasks of old jobs in turn; send workers past a filter between nodes

Change: what has waited 100 s starts the tasks that never ran before others, up to two fifths of the machines, and lets each run for 35 s; a mesh that refuses is told from one that is silent, and workers are sent to the leader then.

--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -65,6 +65,10 @@
 	DirtySince  unit.Instant
 	Writing     bool
 
+	// Ran holds the tasks that have run for long enough to count as started, as
+	// far as this leader has seen.
+	Ran unit.Ranges
+
 	Errors    int          // failures in a row
 	NotBefore unit.Instant // no placing before
 	Avoid     map[unit.MachineID]unit.Instant
@@ -125,6 +129,9 @@
 		return
 	}
 	delete(j.Live, p.Task)
+	if p.Ran != 0 && now.Sub(p.Ran) >= Counts {
+		j.Ran.Add(p.Task)
+	}
 	j.ByZone[zone]--
 	p.State = Ended
 	if requeue && !j.Phase.Final() && !j.Done.Has(p.Task) {
@@ -159,6 +166,23 @@
 	j.Touch(now)
 }
 
+// Counts is how long a task must have run when it is stopped for its start to
+// count to its user, with a margin.
+const Counts = 35 * time.Second
+
+// Fresh lists up to n queued tasks that have never run for long enough to count
+// as started.
+func (j *Job) Fresh(n int) []unit.TaskIndex {
+	var out []unit.TaskIndex
+	j.Queue.Each(func(i unit.TaskIndex) bool {
+		if len(out) < n && !j.Ran.Has(i) {
+			out = append(out, i)
+		}
+		return len(out) < n
+	})
+	return out
+}
+
 // Begun tells whether any task of the job has been started or is done.
 func (j *Job) Begun() bool { return len(j.Live) > 0 || len(j.Done) > 0 }
 
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -446,8 +446,10 @@
 		return reply
 	}
 	reply.Code, reply.Leader = http.StatusMisdirectedRequest, leader
-	works := func() bool { return n.meshWorks(leader) }
-	// Where the mesh does not reach the leader, the worker hardly will.
+	// Where the mesh does not reach the leader, the worker hardly will; but a
+	// filter that refuses connections between nodes lets workers through, and
+	// relaying them all took the changes that submissions need.
+	works := func() bool { return n.meshWorks(leader) || n.peers.Refused(leader) }
 	if works() && n.relays.direct(n.clock.Now(), r.Machine, leader, works) {
 		return reply
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"google.golang.org/grpc"
@@ -24,16 +27,20 @@
 
 // Peers are the connections to the other nodes.
 type Peers struct {
-	conns map[string]*grpc.ClientConn
-	names []string
+	conns   map[string]*grpc.ClientConn
+	names   []string
+	refused map[string]*atomic.Bool // the last connection was refused
 }
 
 // Dial prepares connections to the peers; they are made when first used.
 func Dial(peers []config.Peer) (*Peers, error) {
-	p := &Peers{conns: map[string]*grpc.ClientConn{}}
+	p := &Peers{conns: map[string]*grpc.ClientConn{}, refused: map[string]*atomic.Bool{}}
 	for _, peer := range peers {
+		refused := new(atomic.Bool)
+		p.refused[peer.Label] = refused
 		conn, err := grpc.NewClient("passthrough:///"+peer.PeerAddr,
 			grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
+			grpc.WithContextDialer(dialer(refused)),
 			grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
@@ -49,6 +56,23 @@
 	return p, nil
 }
 
+// dialer connects, and notes whether the connection was refused.
+func dialer(refused *atomic.Bool) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp4", addr)
+		refused.Store(errors.Is(err, syscall.ECONNREFUSED))
+		return conn, err
+	}
+}
+
+// Refused tells whether the last attempt to connect to the peer was refused.
+// Something answers there then: a packet filter between the nodes, or a machine
+// whose process is down. A network that is cut says nothing.
+func (p *Peers) Refused(name string) bool {
+	r := p.refused[name]
+	return r != nil && r.Load()
+}
+
 // Close ends all connections.
 func (p *Peers) Close() {
 	for _, c := range p.conns {
--- a/internal/mesh/relay_test.go
+++ b/internal/mesh/relay_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"badgerbay/internal/config"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/wire"
@@ -106,3 +108,25 @@
 		}
 	})
 }
+
+// TestRefusedIsNotSilent: a peer that refuses connections is told from one
+// that a cut hides: its workers may still be reached.
+func TestRefusedIsNotSilent(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	p, err := Dial([]config.Peer{{Label: "n1", PeerAddr: addr}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	if p.Refused("n1") || p.Refused("unheard-of") {
+		t.Error("refused before anything was tried")
+	}
+	l.Close()
+	if _, err := p.Health(t.Context(), "n1"); err == nil || !p.Refused("n1") {
+		t.Errorf("%v, refused %v", err, p.Refused("n1"))
+	}
+}
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -113,8 +113,8 @@
 	usage  map[unit.Team]checkpoint.Resources
 	giving map[unit.Team]checkpoint.Resources
 	queue  []turn
-	// handled counts the tasks of a job that this plan has dealt with.
-	handled map[*checkpoint.Job]int
+	// claimed are the tasks of a job that this plan has dealt with.
+	claimed map[*checkpoint.Job]unit.Ranges
 	added   map[*checkpoint.Job]map[unit.Zone]int // tasks given a place in this plan
 	taken   map[*checkpoint.Placement]bool
 	rooms   map[*checkpoint.Job]checkpoint.Room
@@ -136,7 +136,10 @@
 	work   [checkpoint.Prod + 1]float64 // CPU seconds of arrays by priority, see countWork
 	ahead  map[*checkpoint.Job]float64  // see queueWork
 	usable map[shape]float64            // see drain
-	began  map[*checkpoint.Job]int      // tasks that this plan starts
+	// spareForOld is what old jobs may still start before others, in CPUs.
+	spareForOld float64
+
+	began map[*checkpoint.Job]int // tasks that this plan starts
 	// promised counts the tasks of a job that wait for machines to come.
 	promised map[*checkpoint.Job]int
 }
@@ -144,7 +147,7 @@
 // Make plans a round. It changes nothing it is given.
 func Make(w *World) *Plan {
 	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
-		placed: map[*bin]int{}, handled: map[*checkpoint.Job]int{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
+		placed: map[*bin]int{}, claimed: map[*checkpoint.Job]unit.Ranges{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
 		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{},
 		ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}, promised: map[*checkpoint.Job]int{}}
@@ -155,8 +158,9 @@
 	for _, t := range w.Teams {
 		p.guards = p.guards || t.CPUs > 0
 	}
-	p.order()
 	p.makeBins()
+	p.order()
+	p.spareForOld = p.forNeglected()
 	var short []shortage
 	spared := false
 	for _, t := range p.queue {
@@ -198,7 +202,7 @@
 
 // turn is a job's place in the order. A job has two turns if only some of its
 // tasks fit its team's guarantee: those come first. One that has waited long
-// and has nothing running has a turn for one task before all work below High.
+// has a turn for the tasks that never ran before all work below High.
 type turn struct {
 	job        *checkpoint.Job
 	guaranteed bool
@@ -213,21 +217,41 @@
 	return 2 * int(t.job.Spec.Priority)
 }
 
-// neglected, in seconds: a job that has waited so long without any task begun
-// goes before others, so that nothing waits for ever behind what goes first.
-const neglected = 100
+const (
+	// neglected, in seconds: what has waited so long and has not begun goes
+	// before others, so that nothing waits for ever behind what goes first.
+	neglected = 100
+	// neglectedPart bounds the part of the machines that such work may have.
+	neglectedPart = 0.4
+)
 
-func (p *planner) isNeglected(j *checkpoint.Job) bool {
-	return j.Spec.Priority < checkpoint.High && !j.Spec.Gang && !j.Begun() &&
+// isOld tells whether the job may have been neglected.
+func (p *planner) isOld(j *checkpoint.Job) bool {
+	return j.Spec.Priority < checkpoint.High && !j.Spec.Gang && !j.Spec.Service &&
 		float64(p.w.WallMs-j.Accepted) >= neglected*1000
 }
 
+// forNeglected is how many CPUs old jobs may have beyond what they hold. What
+// nothing runs of has one task all the same.
+func (p *planner) forNeglected() float64 {
+	room := 0.0
+	for _, b := range p.bins {
+		room += neglectedPart * b.typ.Capacity.CPUs
+	}
+	for _, j := range p.w.All {
+		if p.isOld(j) {
+			room -= float64(len(j.Live)) * j.Spec.CPUs
+		}
+	}
+	return room
+}
+
 // order sorts the jobs: by priority, then work within a team's guarantee
 // first, then arrival.
 func (p *planner) order() {
 	for _, j := range p.w.Jobs {
 		p.queue = append(p.queue, turn{job: j})
-		if p.isNeglected(j) {
+		if p.isOld(j) && len(j.Fresh(1)) > 0 {
 			p.queue = append(p.queue, turn{job: j, first: true})
 		}
 		if p.withinGuarantee(j) && !j.Spec.Gang {
@@ -327,19 +351,17 @@
 // could start by its limits found no room.
 func (p *planner) placeJob(t turn) int {
 	j := t.job
-	skip := p.handled[j]
-	left := min(j.Queue.Len()-skip, p.quota(j))
+	left := min(j.Queue.Len()-p.claimed[j].Len(), p.quota(j))
 	if t.guaranteed {
 		left = min(left, p.guaranteed(j))
 	}
 	if t.first {
-		left = min(left, 1)
+		left = min(left, p.firstTasks(j))
 	}
 	if left <= 0 || p.full {
 		return 0
 	}
-	p.handled[j] += left
-	tasks := queued(j, skip, left)
+	tasks := p.claim(j, left, t.first)
 	bins := p.ranked(j)
 	if j.Spec.Gang && !p.holdsAll(j, bins, left) {
 		return p.wholeGang(j, left)
@@ -378,15 +400,36 @@
 	return within > 0 && j.Spec.Priority >= checkpoint.High && b.typ.FetchGBps > 0 && j.Spec.ImageGB/b.typ.FetchGBps > within
 }
 
-// queued lists n queued tasks of the job after the first skip.
-func queued(j *checkpoint.Job, skip, n int) []unit.TaskIndex {
-	out := make([]unit.TaskIndex, 0, n)
-	j.Queue.Each(func(i unit.TaskIndex) bool {
-		if skip--; skip < 0 {
-			out = append(out, i)
-		}
-		return len(out) < n
-	})
+// firstTasks is how many tasks an old job may start before others.
+func (p *planner) firstTasks(j *checkpoint.Job) int {
+	n := int(p.spareForOld / j.Spec.CPUs)
+	if len(j.Live) == 0 {
+		n = max(n, 1)
+	}
+	n = len(j.Fresh(max(0, n)))
+	p.spareForOld -= float64(n) * j.Spec.CPUs
+	return n
+}
+
+// claim lists n queued tasks of the job that the plan has not dealt with yet,
+// or only such as never ran.
+func (p *planner) claim(j *checkpoint.Job, n int, fresh bool) []unit.TaskIndex {
+	var out []unit.TaskIndex
+	claimed := p.claimed[j]
+	if fresh {
+		out = j.Fresh(n)
+	} else {
+		j.Queue.Each(func(i unit.TaskIndex) bool {
+			if !claimed.Has(i) {
+				out = append(out, i)
+			}
+			return len(out) < n
+		})
+	}
+	for _, i := range out {
+		claimed.Add(i)
+	}
+	p.claimed[j] = claimed
 	return out
 }
 
@@ -790,7 +833,7 @@
 }
 
 func (p *planner) mayStop(j *checkpoint.Job, v *checkpoint.Placement) bool {
-	if j.Spec.Priority < checkpoint.High && p.onlyPart(v) {
+	if j.Spec.Priority < checkpoint.High && p.mustRun(v) {
 		return false
 	}
 	if v.Job.Spec.Priority < j.Spec.Priority {
@@ -807,12 +850,16 @@
 	return left.CPUs >= t.CPUs-1e-6
 }
 
-// onlyPart tells whether the placement is all that runs of a job that waited
-// long for it and has nothing done: it is let run to its end.
-func (p *planner) onlyPart(v *checkpoint.Placement) bool {
+// mustRun tells whether the placement belongs to a job that waited long for it,
+// and has not run for long enough to count as started, or is all that runs of a
+// job with nothing done, which is let run to its end.
+func (p *planner) mustRun(v *checkpoint.Placement) bool {
 	j := v.Job
-	return len(j.Live) == 1 && len(j.Done) == 0 && !j.Spec.Service &&
-		float64(p.w.WallMs-j.Accepted) >= neglected*1000
+	if !p.isOld(j) {
+		return false
+	}
+	fresh := !j.Ran.Has(v.Task) && (v.State != checkpoint.Running || p.w.Now.Sub(v.Ran) < checkpoint.Counts)
+	return fresh || len(j.Live) == 1 && len(j.Done) == 0
 }
 
 // lost is the work, in CPU seconds, that stopping a placement throws away.
