--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -453,7 +453,7 @@
 // end one by one, and what is left would keep many machines for little. Tasks
 // of arrays on them run to their end.
 func (p *planner) consolidate(short []shortage) {
-	if !p.w.MayVacate || len(p.missing) > 0 || p.pressing(short) {
+	if !p.w.MayVacate || len(p.missing) > 0 || !p.patientOnly(short) {
 		return
 	}
 	var inUse, from []*bin
@@ -482,16 +482,14 @@
 	}
 }
 
-// pressing tells whether some work that found no room can't wait until it does.
-// Work that is short for a moment goes on all day at hundreds of machines, and
-// with that alone no machine was emptied before the load fell.
-func (p *planner) pressing(short []shortage) bool {
+// patientOnly tells whether all work that found no room can wait.
+func (p *planner) patientOnly(short []shortage) bool {
 	for _, s := range short {
-		if s.job.Spec.Priority >= checkpoint.High || p.drain(s.job) > p.patience(s.job) {
-			return true
+		if p.patience(s.job) < patient {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // servicePart is the part of the bin's machine that its replicas take, about.
