--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -303,13 +303,13 @@
 }
 
 // mayUse tells whether the job may start on a machine that is up. Work that
-// finds cheap room in time stays off dear machines, also where replicas keep
-// them: what fills them up keeps them from being emptied and returned.
+// can wait stays off dear machines, unless a service or a guarantee keeps them
+// anyway: it would keep them from being returned.
 func (p *planner) mayUse(j *checkpoint.Job, b *bin) bool {
-	if j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.guards {
+	if j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.patience(j) < patient || p.guards {
 		return true
 	}
-	return p.isCheap(j, b.typ, b.spot) || p.drain(j) > p.patience(j)
+	return b.m.Anchored() || p.isCheap(j, b.typ, b.spot)
 }
 
 // onlyOne tells whether the bin may take but one task of the job, and none if
