--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -53,6 +53,11 @@
 		go n.list(ctx)
 	case CallFlavors:
 		go n.flavors(ctx)
+	case Stop:
+		select {
+		case n.stop <- e.Err:
+		default: // it stops already
+		}
 	}
 }
 
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -172,6 +172,8 @@
 	CallList struct{}
 	// CallFlavors reads the machine types.
 	CallFlavors struct{}
+	// Stop ends the node: it can't go on.
+	Stop struct{ Err error }
 )
 
 func (DoLead) effect()      {}
@@ -185,3 +187,4 @@
 func (CallRelease) effect() {}
 func (CallList) effect()    {}
 func (CallFlavors) effect() {}
+func (Stop) effect()        {}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -50,6 +50,7 @@
 	worker *http.Client
 	peers  *mesh.Peers
 	core   *Core
+	stop   chan error
 	inbox  chan Input
 	view   atomic.Pointer[view]
 	health health
@@ -75,6 +76,7 @@
 		store:  statestore.NewClient(set.External.State, transport(16)),
 		cloud:  rental.NewCloud(set.External.Cloud, transport(4)),
 		worker: &http.Client{Transport: transport(1), Timeout: doTimeout},
+		stop:   make(chan error, 1),
 		inbox:  make(chan Input, inboxSize), relayOut: make(chan relayItem, relayQueue)}
 	n.health.hint.Store("")
 	n.pace = intake.NewPace(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -124,6 +126,9 @@
 	case <-ctx.Done():
 		server.Close()
 		return nil
+	case err := <-n.stop:
+		server.Close()
+		return err
 	case err := <-failed:
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -1,8 +1,12 @@
 package controller
 
 import (
+	"errors"
 	"testing"
 	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/statestore"
 )
 
 // TestLateMachinesAreNotWaitedFor guards against an incident: machines that
@@ -46,3 +50,23 @@
 		t.Errorf("%d replicas of %s started anew on a quiet day, %d run", s.starts-before, id, len(s.on))
 	}
 }
+
+// TestLaterRecordsStopTheNode: a program that can't read what a newer one has
+// decided must not decide itself.
+func TestLaterRecordsStopTheNode(t *testing.T) {
+	g := newGrown(t, 0)
+	g.core.term.loaded = false
+	later := checkpoint.NewRecord(batch, 0)
+	later.Schema = checkpoint.Schema + 1
+	data, err := encodeRecord(later)
+	if err != nil {
+		t.Fatal(err)
+	}
+	items := []statestore.Item{{Key: "job/wk-000001", Value: data, Stamp: 3}}
+	for _, e := range g.core.Step(g.now, Loaded{Epoch: 10, OK: true, Jobs: items}) {
+		if stop, ok := e.(Stop); ok && errors.Is(stop.Err, checkpoint.ErrSchema) {
+			return
+		}
+	}
+	t.Error("a record of a later schema was passed over")
+}
--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
 	"badgerbay/internal/fleet"
@@ -24,7 +26,6 @@
 	now      unit.Instant
 	version  unit.Version
 	machines []*fleet.Report
-	quiet    []Effect
 }
 
 func (g *grown) Now() unit.Instant { return g.now }
@@ -150,6 +151,8 @@
 	}
 }
 
+func encodeRecord(r *checkpoint.Record) ([]byte, error) { return msgpack.Marshal(r) }
+
 // BenchmarkReport shows what one report costs a leader with many machines.
 func BenchmarkReport(b *testing.B) {
 	for _, n := range []int{10, 100, 1500} {
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
 	"sort"
 	"strings"
@@ -171,7 +173,7 @@
 	for _, item := range in.Rounds {
 		r, err := round.Decode(item.Value)
 		if err != nil {
-			t.c.log.Error("round record can't be read", "key", item.Key, "err", err)
+			t.unreadable(item.Key, err)
 			continue
 		}
 		stored = append(stored, round.Stored{Key: item.Key, Record: r, Version: item.Stamp})
@@ -185,11 +187,20 @@
 	t.c.log.Info("checkpoints read", "epoch", t.epoch, "jobs", len(t.jobs), "open_rounds", len(open))
 }
 
+// unreadable handles a record that can't be read. One of a later schema stops
+// the node: it must not decide without knowing what a newer one has decided.
+func (t *term) unreadable(key string, err error) {
+	t.c.log.Error("record can't be read", "key", key, "err", err, "epoch", t.epoch)
+	if errors.Is(err, checkpoint.ErrSchema) || errors.Is(err, round.ErrSchema) {
+		t.c.emit(Stop{Err: fmt.Errorf("%s: %w; run the newer program", key, err)})
+	}
+}
+
 // addJob takes in a job record with the placements it holds.
 func (t *term) addJob(now unit.Instant, id unit.JobID, item statestore.Item) {
 	r, err := checkpoint.Decode(item.Value)
 	if err != nil {
-		t.c.log.Error("job record can't be read", "job", id, "err", err)
+		t.unreadable(item.Key, err)
 		return
 	}
 	j := checkpoint.NewJob(id, r, item.Stamp, now)
