--- a/internal/round/record.go
+++ b/internal/round/record.go
@@ -221,9 +221,6 @@
 // Version is the version of the slot that round no goes to.
 func (g *Ring) Version(no unit.RoundNo) unit.Version { return g.slotOf(no).version }
 
-// SetVersion corrects the version of a slot that was read back.
-func (g *Ring) SetVersion(no unit.RoundNo, v unit.Version) { g.slotOf(no).version = v }
-
 // Low is the lowest round that is not settled.
 func (g *Ring) Low() unit.RoundNo {
 	low := g.next
