Bound the sockets by what each use needs

Cause: by reading. At 1,300 machines the leader's listener held 70% of its sockets, fewer than machines may come, and a connection was kept for a minute for each machine that had been sent a command: together more than the limit. Change: 78% for workers and users, 12% for commands under way, 3% for those kept, which end after 10 s.

--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -299,6 +299,8 @@
 // do sends a direct command to a worker.
 func (n *Node) do(ctx context.Context, e Do) {
 	done := DoDone{Machine: e.Machine, Epoch: e.Epoch}
+	n.doing <- struct{}{}
+	defer func() { <-n.doing }()
 	if body, err := fleet.EncodeDo(e.Epoch, e.Shift, e.Orders); err == nil {
 		done.Report, err = n.sendDo(ctx, e.Addr, body)
 		if err != nil {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -48,6 +48,7 @@
 	store  *statestore.Client
 	cloud  *rental.Cloud
 	worker *http.Client
+	doing  chan struct{} // holds one for each direct command under way
 	peers  *mesh.Peers
 	core   *Core
 	stop   chan error
@@ -75,7 +76,8 @@
 		budget: statestore.NewBudget(len(set.Peers)+1, p.State.RPS, p.State.WriteRPS),
 		store:  statestore.NewClient(set.External.State, transport(16)),
 		cloud:  rental.NewCloud(set.External.Cloud, transport(4)),
-		worker: &http.Client{Transport: transport(1), Timeout: doTimeout},
+		worker: &http.Client{Transport: workerTransport(sockets(set, idleShare)), Timeout: doTimeout},
+		doing:  make(chan struct{}, sockets(set, doShare)),
 		stop:   make(chan error, 1),
 		inbox:  make(chan Input, inboxSize), relayOut: make(chan relayItem, relayQueue)}
 	n.health.hint.Store("")
@@ -86,6 +88,29 @@
 	return n, nil
 }
 
+// Shares of the process's sockets. Workers and users come to the listener: at
+// the leader, every machine holds one of its connections. Direct commands hold
+// one each while they are under way, and some for a while after; the rest is for
+// the other nodes, the state service and the cloud.
+const (
+	listenShare = 0.78
+	meshShare   = 0.05
+	doShare     = 0.12
+	idleShare   = 0.03
+)
+
+func sockets(set *config.Settings, share float64) int {
+	return max(1, int(share*float64(set.Params.MachineLimits.MaxSockets)))
+}
+
+// workerTransport keeps few connections to workers, and those not for long: one
+// kept for each of 1,300 machines would take most of the sockets.
+func workerTransport(idle int) *http.Transport {
+	t := transport(1)
+	t.MaxIdleConns, t.IdleConnTimeout = idle, 10*time.Second
+	return t
+}
+
 // transport returns a round tripper that keeps few connections for each host.
 func transport(perHost int) *http.Transport {
 	return &http.Transport{
@@ -109,14 +134,13 @@
 	if err != nil {
 		return fmt.Errorf("mesh_addr: %w", err)
 	}
-	limit := n.set.Params.MachineLimits.MaxSockets
 	server := &http.Server{Handler: n.routes(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
 		WriteTimeout: 15 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(netutil.LimitListener(users, max(1, limit*7/10))) }()
+	go func() { failed <- server.Serve(netutil.LimitListener(users, sockets(n.set, listenShare))) }()
 	go func() {
-		failed <- mesh.Serve(netutil.LimitListener(peers, max(1, limit/20)), &meshServer{n: n})
+		failed <- mesh.Serve(netutil.LimitListener(peers, sockets(n.set, meshShare)), &meshServer{n: n})
 	}()
 	go n.act(ctx)
 	go n.relayUp(ctx)
