--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -416,20 +416,19 @@
 func (p *planner) claim(j *checkpoint.Job, n int, fresh bool) []unit.TaskIndex {
 	var out []unit.TaskIndex
 	claimed := p.claimed[j]
-	if fresh || p.expectsNothing(j) {
-		// Nobody waits for its end, so what never ran goes first.
-		for _, i := range j.Fresh(n + claimed.Len()) {
-			if len(out) < n && claimed.Add(i) {
+	if fresh {
+		out = j.Fresh(n)
+	} else {
+		j.Queue.Each(func(i unit.TaskIndex) bool {
+			if !claimed.Has(i) {
 				out = append(out, i)
 			}
-		}
+			return len(out) < n
+		})
+	}
+	for _, i := range out {
+		claimed.Add(i)
 	}
-	j.Queue.Each(func(i unit.TaskIndex) bool {
-		if !fresh && len(out) < n && claimed.Add(i) {
-			out = append(out, i)
-		}
-		return !fresh && len(out) < n
-	})
 	p.claimed[j] = claimed
 	return out
 }
@@ -634,7 +633,7 @@
 }
 
 func (p *planner) mayPreempt(j *checkpoint.Job) bool {
-	if j.Spec.Priority >= checkpoint.High || p.patience(j) < preemptBelow {
+	if j.Spec.Priority >= checkpoint.High || p.patience(j) < 2*urgentBelow {
 		return true
 	}
 	return p.w.Now.Sub(j.QueuedAt) >= p.w.Policy.PreemptAfter
@@ -873,12 +872,7 @@
 		return 0.5 * s.CPUs
 	}
 	if s.CheckpointS > 0 {
-		cost := (1 + s.SaveS) * s.CPUs
-		if p.w.Now.Sub(v.Ran) < checkpoint.Counts && !v.Job.Ran.Has(v.Task) {
-			// Rather stop what has had its start.
-			cost += checkpoint.Counts.Seconds() * s.CPUs
-		}
-		return cost
+		return (1 + s.SaveS) * s.CPUs
 	}
 	return (1 + p.w.Now.Sub(v.Ran).Seconds()) * s.CPUs
 }
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -146,9 +146,6 @@
 	// urgentBelow, in seconds: work that can wait no longer than this beyond
 	// what a machine takes to come up is helped at any price.
 	urgentBelow = 20
-	// preemptBelow, in seconds: work that can wait longer than this takes the
-	// room that lesser work leaves when it ends, rather than stop it.
-	preemptBelow = 25
 	// cheap: an offer is cheap if a task costs at most so many times what it
 	// costs on the cheapest kind.
 	cheap = 1.5
@@ -276,13 +273,8 @@
 // begins some time: one task on a dear machine does for that. Old jobs of the
 // lowest priority had hundreds of dear machines rented for all their tasks.
 func (p *planner) needsOnlyBegin(j *checkpoint.Job) bool {
-	return p.expectsNothing(j) && !j.Begun()
-}
-
-// expectsNothing tells whether no aim speaks of the job's start or end.
-func (p *planner) expectsNothing(j *checkpoint.Job) bool {
 	return j.Spec.Priority < checkpoint.High && !j.Spec.Service && j.Spec.DeadlineS <= 0 &&
-		p.w.Expect[j.Spec.Class] == Expect{}
+		p.w.Expect[j.Spec.Class] == Expect{} && !j.Begun()
 }
 
 // startTime is how long, in seconds, a new machine takes to run the job.
