--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -220,9 +220,9 @@
 const (
 	// neglected, in seconds: what has waited so long and has not begun goes
 	// before others, so that nothing waits for ever behind what goes first.
-	neglected = 120
+	neglected = 110
 	// neglectedPart bounds the part of the machines that such work may have.
-	neglectedPart = 0.25
+	neglectedPart = 0.3
 )
 
 // isOld tells whether the job may have been neglected.
