--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -20,6 +20,7 @@
 	Throttled     prometheus.Counter
 	Uncertain     prometheus.Counter
 	Relayed       prometheus.Counter
+	BadBatches    prometheus.Counter
 	Submissions   *prometheus.CounterVec
 	Reports       *prometheus.CounterVec
 	CheckpointAge prometheus.Gauge
@@ -59,6 +60,7 @@
 	m.Preemptions = counter("preemptions_total", "Tasks stopped to make room.")
 	m.Throttled = counter("throttled_total", "Requests that the state service or the cloud throttled.")
 	m.Uncertain = counter("uncertain_operations_total", "Requests whose outcome had to be read back.")
+	m.BadBatches = counter("bad_batches_total", "Batches of other nodes, and answers to ours, that could not be read.")
 	m.Relayed = counter("relayed_reports_total", "Reports of cut-off workers answered through the state service.")
 	m.Submissions = vec("user_answers_total", "Answers to users by status.", "code")
 	m.Reports = vec("report_answers_total", "Answers to workers by status.", "code")
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -270,7 +270,12 @@
 		}
 		since = max(since, next)
 		for _, c := range log {
-			if a, err := mesh.ExpandAnswers(c.Value); err == nil && a.ID == id {
+			a, err := mesh.ExpandAnswers(c.Value)
+			if err != nil {
+				n.met.BadBatches.Inc()
+				continue
+			}
+			if a.ID == id {
 				deliver(a, sent)
 				return
 			}
@@ -342,9 +347,13 @@
 }
 
 func (n *Node) serveUp(ctx context.Context, node string, c statestore.Change) {
+	if node == n.set.Label {
+		return
+	}
 	b, err := mesh.ExpandBatch(c.Value)
-	if err != nil || node == n.set.Label {
-		n.log.Debug("batch not served", "node", node, "err", err)
+	if err != nil {
+		n.met.BadBatches.Inc()
+		n.log.Warn("batch can't be read", "node", node, "err", err)
 		return
 	}
 	b.Node = node
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/fleet"
@@ -107,6 +108,14 @@
 	if len(a.Asks) != 1 || a.Asks[0].Standing != "" {
 		t.Errorf("an unknown job was answered: %+v", a.Asks)
 	}
+	// What can't be read is counted, and answered by nothing.
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: []byte{0xa3, 'n', 'o', '!'}})
+	if bad := testutil.ToFloat64(b.n.met.BadBatches); bad != 1 {
+		t.Errorf("%v bad batches counted, want 1", bad)
+	}
+	if again, _ := b.srv.State.Get(mesh.DownPrefix + "n1"); again.Stamp != item.Stamp {
+		t.Error("a batch that can't be read was answered")
+	}
 	// Once another leads, nothing more is written.
 	b.srv.State.Commit(holder)
 	before := item.Stamp
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -504,6 +504,7 @@
 func (s *meshServer) Relay(ctx context.Context, r *meshpb.RelayRequest) (*meshpb.RelayReply, error) {
 	b, err := mesh.DecodeBatch(r.Batch)
 	if err != nil {
+		s.n.met.BadBatches.Inc()
 		return nil, err
 	}
 	data, err := msgpack.Marshal(s.n.serveBatch(ctx, b))
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -925,6 +925,10 @@
 					s.crash(n, time.Duration(20+s.rng.IntN(500))*time.Millisecond)
 				}
 			})
+			s.after(55*time.Second, func() {
+				s.state.Down = true
+				s.after(15*time.Second, func() { s.state.Down = false })
+			})
 			s.load()
 			s.after(5*time.Second, func() { s.withdraw("wk-000003") })
 			s.run(150 * time.Second)
