--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -751,6 +751,7 @@
 	if s.starts == 0 {
 		s.t.Error("nothing_ran")
 	}
+	s.served()
 	s.t.Logf("%d starts, %d machines left, %d changes written, epoch %d", s.starts, len(s.cloud.Machines), s.state.Writes, s.epochs())
 }
 
@@ -769,6 +770,24 @@
 	}
 }
 
+// served checks that at least half of each class and of each team has begun.
+func (s *sim) served() {
+	began, all := map[string]int{}, map[string]int{}
+	for _, j := range s.jobs {
+		for _, group := range []string{"class " + string(j.spec.Class), "team " + string(j.spec.Team)} {
+			all[group]++
+			if j.began != 0 {
+				began[group]++
+			}
+		}
+	}
+	for group, n := range all {
+		if 2*began[group] < n {
+			s.t.Errorf("%d of %d of %s were served", began[group], n, group)
+		}
+	}
+}
+
 func TestQuietDay(t *testing.T) {
 	s := newSim(t, 1)
 	s.load()
@@ -925,6 +944,23 @@
 					s.crash(n, time.Duration(20+s.rng.IntN(500))*time.Millisecond)
 				}
 			})
+			s.every(21*time.Second, func() {
+				// A machine is back at once, with nothing of what ran on it.
+				ids := slices.Sorted(maps.Keys(s.cloud.Machines))
+				if len(ids) == 0 || s.loss == 0 {
+					return
+				}
+				if w := s.cloud.Machines[ids[s.rng.IntN(len(ids))]].Worker; w != nil {
+					w.Clear(s.now)
+					w.Shift++
+				}
+			})
+			s.after(80*time.Second, func() {
+				// A zone is cut: its nodes and the others lose sight of each
+				// other's workers.
+				s.cut[2] = true
+				s.after(20*time.Second, func() { delete(s.cut, 2) })
+			})
 			s.after(55*time.Second, func() {
 				s.state.Down = true
 				s.after(15*time.Second, func() { s.state.Down = false })
@@ -962,6 +998,57 @@
 	}
 }
 
+// TestGrowingDay plays a day at some hundred machines, with arrays that fill
+// them, crashes in a row, an outage and machines that vanish.
+func TestGrowingDay(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, 40+seed)
+			for o := range s.cloud.Capacity {
+				s.cloud.Capacity[o] *= 15
+			}
+			s.set.Params.Teams = []config.Team{{Name: "red", CPUs: 300, CPUsMax: 900}, {Name: "blue", CPUs: 300, CPUsMax: 900}}
+			for _, n := range s.nodes {
+				s.crash(n, time.Millisecond)
+			}
+			s.loss = 0.01
+			array := batch
+			array.Tasks = 160
+			for i := range 12 {
+				s.submit(3*i, array, 15*time.Second)
+				s.submit(3*i+1, spread, 0)
+				s.submit(3*i+2, together, 8*time.Second)
+			}
+			for _, at := range []int{25, 32, 61} {
+				s.after(time.Duration(at)*time.Second, func() {
+					if l := s.leader(); l != nil {
+						s.crash(l, 500*time.Millisecond)
+					}
+				})
+			}
+			peak := 0
+			s.every(time.Second, func() { peak = max(peak, len(s.cloud.Machines)) })
+			s.after(45*time.Second, func() {
+				s.state.Down = true
+				s.after(12*time.Second, func() { s.state.Down = false })
+			})
+			s.after(50*time.Second, func() {
+				for i, id := range slices.Sorted(maps.Keys(s.cloud.Machines)) {
+					if h := s.cloud.Machines[id]; i%9 == 0 && h.Worker != nil {
+						s.take(id)
+					}
+				}
+			})
+			s.run(100 * time.Second)
+			if peak < 40 {
+				t.Errorf("the day had only %d machines", peak)
+			}
+			s.finish()
+		})
+	}
+}
+
 // TestLargestBegin: the largest job of the lowest class begins within four
 // minutes, and keeps running for long enough to count, however many small ones
 // of a higher priority come all the time and take all there is.
