--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -134,39 +134,38 @@
 	var alone, r reach
 	begun := unit.Instant(time.Hour)
 	for now := begun; now.Sub(begun) < 20*time.Second; now = now.Add(time.Second) {
-		for i := range 10 {
-			r.note(now, unit.MachineID(fmt.Sprintf("near-%d", i)), "")
-			alone.note(now, unit.MachineID(fmt.Sprintf("near-%d", i)), "")
-		}
+		hear(&r, now, "near", 10, "")
+		hear(&alone, now, "near", 10, "")
 		if heir := alone.heir(now, 100); heir != "" {
 			t.Fatalf("leaves it to %q, which nobody comes through", heir)
 		}
-		for i := range 16 {
-			r.note(now, unit.MachineID(fmt.Sprintf("far-%d", i)), "n2")
-		}
+		hear(&r, now, "far", 16, "n2")
 		if heir := r.heir(now, 100); (heir == "n2") != (now.Sub(begun) >= reachPatience) {
 			t.Fatalf("heir %q after %v", heir, now.Sub(begun))
 		}
 	}
 	fewer := reach{}
 	for now := begun; now.Sub(begun) < 20*time.Second; now = now.Add(time.Second) {
-		for i := range 10 {
-			fewer.note(now, unit.MachineID(fmt.Sprintf("near-%d", i)), "")
-			fewer.note(now, unit.MachineID(fmt.Sprintf("far-%d", i)), "n2")
-		}
+		hear(&fewer, now, "near", 10, "")
+		hear(&fewer, now, "far", 10, "n2")
 		if heir := fewer.heir(now, 100); heir != "" {
 			t.Fatalf("leaves it to %q, which brings no more than come here", heir)
 		}
 	}
 	now := begun.Add(20 * time.Second)
-	for i := range 50 {
-		r.note(now, unit.MachineID(fmt.Sprintf("near-%d", i)), "")
-	}
+	hear(&r, now, "near", 50, "")
 	if r.heir(now, 100) != "" {
 		t.Error("gives up although many workers reach it")
 	}
 }
 
+// hear notes a report of each of n workers, through the node via if one is named.
+func hear(r *reach, now unit.Instant, name string, n int, via string) {
+	for i := range n {
+		r.note(now, unit.MachineID(fmt.Sprintf("%s-%d", name, i)), via)
+	}
+}
+
 // TestAnswersOfAnEarlierTerm: a node that leads again must not take the answer
 // to a write of its last term for that of the round under way.
 func TestAnswersOfAnEarlierTerm(t *testing.T) {
