Take every connection in or close it at once; refuse machines too small to serve

Now connections are counted by who uses them. Under pressure, what is beyond the part of workers or users is closed after its answer and comes back with the next report; who says nothing makes room first; a connection that finds no room is closed at once. Keeping workers at followers was ruled out: it needs another hop for each report, and closing costs a connection each five seconds for the excess alone. Sockets, threads and memory are metrics.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -187,7 +187,31 @@
 	if err := s.checkPeers(); err != nil {
 		return err
 	}
-	return s.Params.check()
+	if err := s.Params.check(); err != nil {
+		return err
+	}
+	return s.checkRoom()
+}
+
+const (
+	// leastSockets serve the state service, the cloud and a few workers and
+	// users; each peer takes some more.
+	leastSockets     = 16
+	leastSocketsPeer = 4
+	// leastMemMB holds the program with nothing to do.
+	leastMemMB = 16
+)
+
+// checkRoom refuses a machine on which the program could not serve at all.
+func (s *Settings) checkRoom() error {
+	l := s.Params.MachineLimits
+	if least := leastSockets + leastSocketsPeer*len(s.Peers); l.MaxSockets < least {
+		return wrong("params.machine_limits.max_sockets", "%d are too few to serve with %d peers: at least %d", l.MaxSockets, len(s.Peers), least)
+	}
+	if l.MemMB < leastMemMB {
+		return wrong("params.machine_limits.mem_mb", "%v is too little to serve: at least %d", l.MemMB, leastMemMB)
+	}
+	return nil
 }
 
 func (s *Settings) checkPeers() error {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,7 +56,8 @@
 		"params.machine_limits.cpu":         params("machine_limits", "cpu", 0),
 		"params.cloud.list_lag_s":           params("cloud", "list_lag_s", -1),
 		"params.teams[0].cpus":              func(m map[string]any) { m["params"].(map[string]any)["teams"].([]any)[0].(map[string]any)["cpus"] = -1 },
-		"params.machine_limits.max_sockets": params("machine_limits", "max_sockets", 0),
+		"params.machine_limits.max_sockets": params("machine_limits", "max_sockets", 19),
+		"params.machine_limits.mem_mb":      params("machine_limits", "mem_mb", 8),
 	} {
 		_, err := Read(strings.NewReader(settings(t, change)))
 		var fe *FieldError
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -2,8 +2,10 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/door"
 	"badgerbay/internal/unit"
 )
 
@@ -72,9 +74,23 @@
 	m.RingFree = gauge("round_slots_free", "Free slots of the ring of round records.")
 	m.Tombstones = gauge("tombstones", "Exits that wait to be reaped.")
 	m.Epoch = gauge("epoch", "Epoch of this node, 0 if it does not lead.")
+	m.Registry.MustRegister(collectors.NewGoCollector()) // threads, goroutines, memory
 	return m
 }
 
+// watchDoor adds the connections of workers and users.
+func (m *Metrics) watchDoor(d *door.Door) {
+	watch := func(name, help string, of func(door.Stats) int) {
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "badgerbay", Name: name, Help: help},
+			func() float64 { return float64(of(d.Stats())) }))
+	}
+	watch("connections", "Connections of workers, users and those who have said nothing.", func(s door.Stats) int { return s.Open })
+	watch("worker_connections", "Connections of workers.", func(s door.Stats) int { return s.Workers })
+	watch("user_connections", "Connections of users and of the load balancer's probes.", func(s door.Stats) int { return s.Users })
+	watch("connections_evicted", "Connections closed so far to make room for others.", func(s door.Stats) int { return s.Evicted })
+	watch("connections_refused", "Connections closed so far for want of room.", func(s door.Stats) int { return s.Refused })
+}
+
 // watch sets the gauges of a leader.
 func (m *Metrics) watch(t *term, now unit.Instant) {
 	age, pending, queued := 0.0, 0, 0
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/netutil"
 
 	"badgerbay/internal/config"
+	"badgerbay/internal/door"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/intake"
 	"badgerbay/internal/mesh"
@@ -134,13 +135,12 @@
 	if err != nil {
 		return fmt.Errorf("mesh_addr: %w", err)
 	}
-	server := &http.Server{Handler: n.routes(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
-		WriteTimeout: 15 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	entrance := n.newDoor(users)
+	server := n.newServer(entrance)
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(netutil.LimitListener(users, sockets(n.set, listenShare))) }()
+	go func() { failed <- server.Serve(entrance) }()
 	go func() {
-		failed <- mesh.Serve(netutil.LimitListener(peers, sockets(n.set, meshShare)), &meshServer{n: n})
+		failed <- mesh.Serve(netutil.LimitListener(peers, max(2*len(n.set.Peers)+2, sockets(n.set, meshShare))), &meshServer{n: n})
 	}()
 	go n.act(ctx)
 	go n.relayUp(ctx)
@@ -161,6 +161,30 @@
 	}
 }
 
+// newDoor keeps the connections of workers and users within their share of the
+// sockets. At the leader every machine holds one; there may be more machines
+// than that. A listener that stopped accepting left them, and with them users
+// and the load balancer's probes, without an answer.
+func (n *Node) newDoor(l net.Listener) *door.Door {
+	d := door.New(l, door.Limits{All: sockets(n.set, listenShare), Patience: 2*n.set.Params.Workers.ReportInterval() + time.Second}, n.clock.Now)
+	n.met.watchDoor(d)
+	return d
+}
+
+func (n *Node) newServer(d *door.Door) *http.Server {
+	return &http.Server{Handler: d.Handler(visitor, n.routes()), ConnContext: d.Context,
+		ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
+		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+}
+
+// visitor tells who makes a request.
+func visitor(r *http.Request) door.Kind {
+	if r.URL.Path == beatPath {
+		return door.Worker
+	}
+	return door.User
+}
+
 // act is the actor: it alone touches the core.
 func (n *Node) act(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -50,6 +50,9 @@
 	healthEvery = time.Second
 )
 
+// beatPath is where workers report.
+const beatPath = "/agent/beat"
+
 func (n *Node) routes() http.Handler {
 	r := httprouter.New()
 	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
@@ -61,7 +64,7 @@
 	r.POST("/submissions", n.submit)
 	r.GET("/submissions/:id", n.ask(intake.Poll))
 	r.POST("/submissions/:id/withdraw", n.ask(intake.Withdraw))
-	r.POST("/agent/beat", n.beat)
+	r.POST(beatPath, n.beat)
 	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(n.met.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: 2}))
 	return r
 }
--- /dev/null
+++ b/internal/door/door_test.go
@@ -0,0 +1,139 @@
+package door
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"badgerbay/internal/unit"
+)
+
+// TestBook: a connection finds room as long as another is missed less, and is
+// refused otherwise; strangers go before workers.
+func TestBook(t *testing.T) {
+	b := NewBook(Limits{All: 3, Patience: 10 * time.Second})
+	now := unit.Instant(time.Hour)
+	enter := func() (*Visit, *Visit) { return b.Enter(now, func() {}) }
+	worker, _ := enter()
+	b.Begin(worker, Worker)
+	b.End(now, worker)
+	now = now.Add(3 * time.Second)
+	silent, _ := enter()
+	busy, _ := enter()
+	b.Begin(busy, User)
+	if v, _ := enter(); v != nil || b.Refused != 1 {
+		t.Error("a fourth of three was let in, and nobody had waited long")
+	}
+	now = now.Add(2 * time.Second)
+	if v, evict := enter(); v == nil || evict != silent {
+		t.Error("who has said nothing must make room, before a worker that waits for its turn")
+	}
+	if v, _ := enter(); v != nil {
+		t.Error("a worker's connection was given up within its patience")
+	}
+	now = now.Add(6 * time.Second)
+	first := b.waiting[Stranger].Front().Value.(*Visit)
+	b.Begin(first, User)
+	if v, evict := enter(); v == nil || evict != worker {
+		t.Error("a worker that was silent for too long must make room")
+	}
+	b.Leave(worker) // its connection closes after it was evicted
+	if b.Open() != 3 || b.Count(User) != 2 || b.Count(Worker) != 0 || b.Count(Stranger) != 1 {
+		t.Errorf("%d open: %d users, %d workers, %d strangers", b.Open(), b.Count(User), b.Count(Worker), b.Count(Stranger))
+	}
+	if b.Begin(worker, Worker) {
+		t.Error("an evicted connection is kept")
+	}
+}
+
+// TestMoreWorkersThanConnections: with more workers than the listener takes,
+// connections that say nothing among them, all workers are answered, and so are
+// users and probes. The listener before it stopped accepting, and left them
+// without an answer.
+func TestMoreWorkersThanConnections(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun := time.Now()
+	d := New(l, Limits{All: 40, Patience: time.Minute}, func() unit.Instant { return unit.Instant(time.Hour + time.Since(begun)) })
+	kind := func(r *http.Request) Kind {
+		if r.URL.Path == "/agent/beat" {
+			return Worker
+		}
+		return User
+	}
+	served := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") })
+	srv := &http.Server{Handler: d.Handler(kind, served), ConnContext: d.Context}
+	go srv.Serve(d)
+	t.Cleanup(func() { srv.Close() })
+	addr := l.Addr().String()
+	for range 15 { // they connect and say nothing
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() { report(t, addr, i) })
+	}
+	wg.Wait()
+	for range 10 {
+		resp, err := (&http.Client{Timeout: 2 * time.Second}).Get("http://" + addr + "/up")
+		if err != nil {
+			t.Fatalf("a probe among the workers: %v", err)
+		}
+		resp.Body.Close()
+	}
+	if s := d.Stats(); s.Open > 40 || s.Workers > 36 {
+		t.Errorf("%+v: more than there is room for", s)
+	}
+}
+
+// report plays a worker: it reports three times, on the connection that it has
+// as long as that is kept, and tries again when it is refused.
+func report(t *testing.T, addr string, i int) {
+	var c net.Conn
+	for n, tries := 0, 0; n < 3; tries++ {
+		if tries == 100 {
+			t.Errorf("worker %d was not answered", i)
+			return
+		}
+		if c == nil {
+			var err error
+			if c, err = net.Dial("tcp4", addr); err != nil {
+				t.Error(err)
+				return
+			}
+		}
+		c.SetDeadline(time.Now().Add(4 * time.Second))
+		fmt.Fprintf(c, "POST /agent/beat HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil && strings.Contains(err.Error(), "timeout") {
+			t.Errorf("worker %d was left without an answer", i)
+			return
+		}
+		if err == nil {
+			n++
+			resp.Body.Close()
+		}
+		if err != nil || resp.Close {
+			c.Close()
+			c = nil
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	t.Cleanup(func() {
+		if c != nil {
+			c.Close()
+		}
+	})
+}
