Take nothing for dead because the node itself stood still

Cause, found by reading and shown by TestSleeperReturnsNothing: a leader that wakes after less than its lease counts the silence of its own sleep as that of machines. Where most had reported just before, the few that had not were returned, and leadership could be handed over for workers not heard. Silence is now judged from a report interval and a half after waking. An answer to a user that took longer than its budget is not given: another node may have said more since. Entitlement was already judged as answers leave.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -27,7 +27,9 @@
 	types  []*fleet.Type
 	term   *term // nil unless this node holds the leader key
 
-	cut         bool // some node is out of reach over the mesh
+	cut         bool         // some node is out of reach over the mesh
+	stepped     unit.Instant // the last step
+	woke        unit.Instant // the last step after a long rest
 	nextFlavors unit.Instant
 	out         []Effect
 }
@@ -52,6 +54,10 @@
 // next tick. At 1,500 machines doing all of it for each report took 2 ms.
 func (c *Core) Step(now unit.Instant, in Input) []Effect {
 	c.out = nil
+	if now.Sub(c.stepped) > asleep {
+		c.woke = now
+	}
+	c.stepped = now
 	c.take(now, in)
 	if frequent(in) {
 		if c.term != nil && c.term.loaded && c.lead.Entitled(now) {
@@ -70,6 +76,18 @@
 	return c.out
 }
 
+// asleep: a core that took no step for so long, although ticks come far more
+// often, has stood still while its clocks ran on, or was starved.
+const asleep = 500 * time.Millisecond
+
+// dozy tells whether the node woke so short a time ago that what it has not
+// heard since proves nothing: reports and answers were there to be heard while
+// it stood still.
+func (c *Core) dozy(now unit.Instant) bool {
+	interval := c.set.Params.Workers.ReportInterval()
+	return now.Sub(c.woke) < interval+interval/2
+}
+
 // frequent tells whether the input is of a kind that comes from each machine
 // or user.
 func frequent(in Input) bool {
--- a/internal/controller/reach.go
+++ b/internal/controller/reach.go
@@ -94,6 +94,11 @@
 	if t.flight != nil || t.fold != nil || t.c.lead.Sealing() {
 		return false
 	}
+	if t.c.dozy(now) {
+		// It has heard nobody because it stood still itself.
+		t.reach.since = 0
+		return false
+	}
 	heir := t.reach.heir(now, t.fleet.Reporting())
 	if heir == "" {
 		return false
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -297,7 +297,7 @@
 		}
 		idle := !m.Busy() && (now.Sub(m.IdleSince) > t.idleLimit(m) && !keep[m.ID] || m.Drained || m.Vacating)
 		if m.Shift == 0 {
-			idle = t.overdue(now, m)
+			idle = t.overdue(now, m) && !t.c.dozy(now)
 		}
 		if !idle && !m.Failed && !silent[m.ID] {
 			continue
@@ -365,7 +365,8 @@
 	// Those that miss their first report count too: in a cut the machines fall
 	// silent one after the other, and the first must not be returned alone.
 	// And while a node is out of reach, a machine may be cut off with it.
-	if t.c.cut || quiet > max(1, up/10) || up < 3 {
+	// Nor does a leader that stood still itself know who went on.
+	if t.c.cut || t.c.dozy(now) || quiet > max(1, up/10) || up < 3 {
 		return nil
 	}
 	return silent
--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -70,3 +70,35 @@
 	}
 	t.Error("a record of a later schema was passed over")
 }
+
+// TestSleeperReturnsNothing: a leader that stood still for less than its lease
+// has heard nobody, and must not return a machine that went on reporting. Where
+// most machines had reported just before, the one that had not was returned.
+func TestSleeperReturnsNothing(t *testing.T) {
+	g := newGrown(t, 12)
+	g.fill(12)
+	g.pass(time.Second)
+	for i := 1; i < 12; i++ {
+		g.report(i)
+	}
+	first := g.core.term.fleet.Machine(g.machines[0].Machine)
+	first.LastReport = g.now.Add(-6 * time.Second) // as far as a healthy one may be
+	g.now = g.now.Add(4900 * time.Millisecond)
+	g.step(Tick{})
+	if first.Releasing {
+		t.Error("a leader that just woke returned a machine that it had not heard")
+	}
+	for k := range 200 { // and now it says nothing although the leader is awake
+		g.now = g.now.Add(50 * time.Millisecond)
+		if k%20 == 0 {
+			for i := 1; i < 12; i++ {
+				g.report(i)
+			}
+		}
+		first.LastReport = 1
+		g.step(Tick{})
+	}
+	if !first.Releasing {
+		t.Error("a silent machine was kept though the leader had been awake for long")
+	}
+}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -234,7 +234,14 @@
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), budget)
 		defer cancel()
-		n.answer(w, id, n.drive(ctx, id, intake.NewAsk(kind)))
+		begun := n.clock.Now()
+		ans := n.drive(ctx, id, intake.NewAsk(kind))
+		// A node that stood still meanwhile may hold an answer that is older
+		// than what another node has said since.
+		if n.clock.Now().Sub(begun) > budget {
+			ans = intake.Answer{Code: http.StatusServiceUnavailable, RetryAfter: time.Second}
+		}
+		n.answer(w, id, ans)
 	}
 }
 
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -50,6 +50,7 @@
 	starts    int
 	hung      map[unit.MachineID]unit.Instant // machines that hang, and until when
 	deaf      map[unit.MachineID]unit.Instant // machines that nothing reaches, though their reports arrive
+	frozen    map[int]unit.Instant            // nodes that stand still while their clocks run on, and until when
 	alone     map[int]bool                    // nodes without state service, and what follows from it
 	late      float64                         // the chance that a report comes once more, late
 	lateBy    time.Duration                   // how late at most
@@ -125,7 +126,7 @@
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: unit.Instant(time.Hour), set: simSettings(), pol: pol,
 		state: standin.NewState(), cloud: standin.NewCloud(types, capacity), jobs: map[unit.JobID]*simJob{},
 		on: map[unit.TaskID]unit.MachineID{}, zones: map[unit.TaskID]unit.Zone{}, cut: map[int]bool{},
-		hung: map[unit.MachineID]unit.Instant{}, deaf: map[unit.MachineID]unit.Instant{}, alone: map[int]bool{}, lateBy: 40 * time.Second}
+		hung: map[unit.MachineID]unit.Instant{}, deaf: map[unit.MachineID]unit.Instant{}, alone: map[int]bool{}, frozen: map[int]unit.Instant{}, lateBy: 40 * time.Second}
 	s.cloud.Boot = func() time.Duration { return time.Duration(2+s.rng.IntN(10)) * time.Second }
 	s.state.ValueBytes, s.state.TxnOps = s.set.Params.State.ValueBytes(), s.set.Params.State.TxnOps
 	for i := range 3 {
@@ -189,6 +190,16 @@
 }
 
 func (s *sim) step(n *simNode, in Input) {
+	if until := s.frozen[n.index]; s.now.Before(until) {
+		// It queues, and finds a process that woke with its clocks run on.
+		life := n.life
+		s.after(until.Sub(s.now), func() {
+			if n.alive && n.life == life {
+				s.step(n, in)
+			}
+		})
+		return
+	}
 	for _, e := range n.core.Step(s.now, in) {
 		if _, ok := e.(DoLead); ok && s.electAt > 0 {
 			if s.electAt--; s.electAt == 0 {
@@ -973,6 +984,41 @@
 	}
 }
 
+// TestFrozenNodes plays days on which nodes, rather the leader than not, stand
+// still for a fraction of a second to more than a lease while their clocks run
+// on, with crashes, outages, late copies and lost messages in between.
+func TestFrozenNodes(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, 300+seed)
+			s.loss, s.dup, s.late = 0.02, 0.05, 0.05
+			s.every(11*time.Second, func() {
+				n := s.nodes[s.rng.IntN(3)]
+				if l := s.leader(); l != nil && s.rng.IntN(3) > 0 {
+					n = l
+				}
+				if s.loss > 0 {
+					s.frozen[n.index] = s.now.Add(time.Duration(100<<s.rng.IntN(9)) * time.Millisecond)
+				}
+			})
+			s.every(37*time.Second, func() {
+				if n := s.nodes[s.rng.IntN(3)]; s.loss > 0 && n.alive {
+					s.crash(n, time.Duration(20+s.rng.IntN(500))*time.Millisecond)
+				}
+			})
+			s.after(45*time.Second, func() {
+				s.state.Down = true
+				s.after(15*time.Second, func() { s.state.Down = false })
+			})
+			s.load()
+			s.after(5*time.Second, func() { s.withdraw("wk-000003") })
+			s.run(150 * time.Second)
+			s.finish()
+		})
+	}
+}
+
 // TestRestartInEachStepOfAnElection ends a process before each of its requests
 // to the state service in turn, while it stands for election or leads, and
 // starts it again at once: late answers to the one must not serve the other.
