Keep the leases of workers that are cut off together with a node

Ruled out: too little room outside. The leader now grants others, in its epoch, the right to keep leases without orders, for as long as a job withdrawn meanwhile can still be gone in time. A lease counts as over only if the nodes that may have kept it say that they did not, or when their grants are surely over; after a takeover, grants count from the acquisition.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -13,6 +13,7 @@
 	"badgerbay/internal/policy"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
 )
 
 // Core is the state machine of one node. It is not safe for concurrent use.
@@ -26,6 +27,8 @@
 	lead   *leadership.Machine
 	types  []*fleet.Type
 	term   *term // nil unless this node holds the leader key
+	keeper *vouch.Keeper
+	from   vouch.Isolation // what this node is cut off from
 
 	cut         bool         // some node is out of reach over the mesh
 	stepped     unit.Instant // the last step
@@ -39,7 +42,7 @@
 	rng *rand.Rand, log *slog.Logger, met *Metrics) *Core {
 	times := leadership.Times{Life: pol.LeaseLife, Renew: pol.LeaseRenew, Poll: pol.LeaderPoll}
 	return &Core{set: set, pol: pol, log: log, met: met, budget: budget, clock: clock,
-		lead: leadership.New(set.Label, times, rng)}
+		lead: leadership.New(set.Label, times, rng), keeper: vouch.NewKeeper(set.Location, vouch.ZonesOf(set), clock.Now())}
 }
 
 // Leader is the node that was last seen to lead, or "".
@@ -92,7 +95,7 @@
 // or user.
 func frequent(in Input) bool {
 	switch in.(type) {
-	case Reported, DoDone, Asked, Noticed, JobRead:
+	case Reported, DoDone, Asked, Noticed, JobRead, PeerAsked, PeerSaid:
 		return true
 	}
 	return false
@@ -122,6 +125,7 @@
 		c.emit(LoadAll{Epoch: after})
 	default:
 		c.log.Info("no longer leading", "epoch", before)
+		c.keepOwn(before)
 		c.budget.Lead(now, false)
 		c.term.abandon()
 		c.term = nil
@@ -138,6 +142,15 @@
 		c.asked(now, in)
 	case MeshCut:
 		c.cut = in.On
+	case Isolated:
+		c.from = in.From
+	case PeerAsked:
+		c.peerAsked(now, in)
+	case PeerSaid:
+		c.keeper.Take(in.Sent, in.Said)
+		if c.term != nil {
+			c.term.ledger.Attest(in.Node, in.Sent, now, in.Said.Quiet)
+		}
 	case FlavorsDone:
 		c.flavors(in)
 	default:
@@ -162,6 +175,9 @@
 // so that leases really run out: it names the leader, or refuses.
 func (c *Core) reported(now unit.Instant, in Reported) {
 	if !c.lead.Entitled(now) || c.term == nil {
+		if in.Via == "" && c.keep(now, in) {
+			return
+		}
 		reply := ReplyReport{Ticket: in.Ticket, Code: http.StatusMisdirectedRequest, Leader: c.Leader()}
 		if c.lead.Leads() {
 			reply.Code = http.StatusServiceUnavailable
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -35,6 +35,8 @@
 		e.Ticket.(chan ReplyReport) <- e
 	case ReplyAsk:
 		e.Ticket.(chan ReplyAsk) <- e
+	case ReplyPeer:
+		e.Ticket.(chan ReplyPeer) <- e
 	case DoLead:
 		go n.doLead(ctx, e.Effect)
 	case LoadAll:
--- /dev/null
+++ b/internal/controller/keep.go
@@ -0,0 +1,84 @@
+package controller
+
+import (
+	"net/http"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
+)
+
+// keep answers a report that came to a node which is cut off: by the grant that
+// it holds, or at once that the worker should try another node. It returns
+// false if the node is not cut off, so that the leader is to answer.
+func (c *Core) keep(now unit.Instant, in Reported) bool {
+	if c.term != nil {
+		c.keepOwn(c.lead.Epoch())
+	}
+	switch c.keeper.Judge(now, c.from, in.Report) {
+	case vouch.Keep:
+		if c.term != nil {
+			// Should this node lead on, it must count what it did.
+			m := c.term.fleet.Ensure(now, in.Report.Machine)
+			m.LastAnswer = max(m.LastAnswer, now)
+		}
+		c.met.Kept.Inc()
+		c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusOK, Epoch: c.keeper.Epoch(), Until: c.keeper.Until(), Final: true})
+	case vouch.SendOn:
+		c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusMisdirectedRequest, Final: true})
+	default:
+		return false
+	}
+	return true
+}
+
+// keepOwn grants this node, which led in the epoch, what it would have granted
+// another when it last renewed its lease.
+func (c *Core) keepOwn(epoch unit.Epoch) {
+	until := c.lead.LastEntitled()
+	base := until.Add(-c.pol.LeaseLife)
+	if !c.term.loaded || until == 0 || base == c.keeper.Base() {
+		return
+	}
+	c.keeper.Take(base, c.term.grant(epoch))
+}
+
+// peerAsked says what this node has done by its grant and, if it leads, grants
+// the one that asks the right to keep workers should it be cut off.
+func (c *Core) peerAsked(now unit.Instant, in PeerAsked) {
+	var said vouch.Said
+	if c.term != nil && c.term.loaded && c.lead.Entitled(now) {
+		said = c.term.grant(c.lead.Epoch())
+		if said.Life > 0 {
+			said.Life = c.term.ledger.Grant(now, in.Node)
+		}
+	}
+	said.Quiet = c.keeper.Quiet(now)
+	c.emit(ReplyPeer{Ticket: in.Ticket, Said: said})
+}
+
+// maxOwing bounds the machines that a grant leaves out. With more, none is
+// given.
+const maxOwing = 500
+
+// grant is what the leader lets others do. Machines with tasks of withdrawn
+// jobs are left out: those must be gone in time, whatever is cut.
+func (t *term) grant(epoch unit.Epoch) vouch.Said {
+	s := vouch.Said{Epoch: epoch, Life: vouch.Life(t.c.set.Params.Workers)}
+	owing := map[unit.MachineID]bool{}
+	for _, j := range t.jobs {
+		if j.Phase != checkpoint.Cancelled {
+			continue
+		}
+		for _, p := range j.Live {
+			owing[p.Machine] = true
+		}
+	}
+	if len(owing) > maxOwing {
+		s.Life = 0
+	}
+	for id := range owing {
+		s.Owing = append(s.Owing, id)
+	}
+	return s
+}
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -10,6 +10,7 @@
 	"badgerbay/internal/rental"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
 )
 
 // Ticket tells whom to answer; the core only hands it back.
@@ -86,6 +87,20 @@
 		Sent     unit.Instant
 		Machines []rental.Listed
 	}
+	// PeerAsked is another node that asks for a grant, and for what this one has
+	// done by its own.
+	PeerAsked struct {
+		Ticket Ticket
+		Node   string
+	}
+	// PeerSaid is what another node has answered to that, asked at Sent.
+	PeerSaid struct {
+		Node string
+		Sent unit.Instant
+		Said vouch.Said
+	}
+	// Isolated says what this node is cut off from.
+	Isolated struct{ From vouch.Isolation }
 	// MeshCut says whether some other node is out of reach over the mesh.
 	MeshCut struct{ On bool }
 	// FlavorsDone answers CallFlavors.
@@ -104,6 +119,9 @@
 func (HireDone) input()    {}
 func (ReleaseDone) input() {}
 func (ListDone) input()    {}
+func (PeerAsked) input()   {}
+func (PeerSaid) input()    {}
+func (Isolated) input()    {}
 func (MeshCut) input()     {}
 func (FlavorsDone) input() {}
 
@@ -152,6 +170,13 @@
 		Until  unit.Instant
 		// Relayed: another node has checked that it may be given.
 		Relayed bool
+		// Final: no other node is to be asked.
+		Final bool
+	}
+	// ReplyPeer answers PeerAsked.
+	ReplyPeer struct {
+		Ticket Ticket
+		Said   vouch.Said
 	}
 	// ReplyAsk answers a poll or a withdrawal; Known must leave before Until.
 	ReplyAsk struct {
@@ -182,6 +207,7 @@
 func (Commit) effect()      {}
 func (Do) effect()          {}
 func (ReplyReport) effect() {}
+func (ReplyPeer) effect()   {}
 func (ReplyAsk) effect()    {}
 func (CallHire) effect()    {}
 func (CallRelease) effect() {}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -22,6 +22,7 @@
 	Throttled     prometheus.Counter
 	Uncertain     prometheus.Counter
 	Relayed       prometheus.Counter
+	Kept          prometheus.Counter
 	BadBatches    prometheus.Counter
 	Submissions   *prometheus.CounterVec
 	Reports       *prometheus.CounterVec
@@ -63,6 +64,7 @@
 	m.Throttled = counter("throttled_total", "Requests that the state service or the cloud throttled.")
 	m.Uncertain = counter("uncertain_operations_total", "Requests whose outcome had to be read back.")
 	m.BadBatches = counter("bad_batches_total", "Batches of other nodes, and answers to ours, that could not be read.")
+	m.Kept = counter("kept_reports_total", "Reports answered by a grant while this node was cut off.")
 	m.Relayed = counter("relayed_reports_total", "Reports of cut-off workers answered through the state service.")
 	m.Submissions = vec("user_answers_total", "Answers to users by status.", "code")
 	m.Reports = vec("report_answers_total", "Answers to workers by status.", "code")
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,6 +20,7 @@
 	"badgerbay/internal/mesh/meshpb"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
 	"badgerbay/internal/wire"
 )
 
@@ -432,13 +434,18 @@
 // service does not answer this node, whether the others reach it, and who
 // leads.
 func (n *Node) watchHealth(ctx context.Context) {
-	cut := false
+	cut, from := false, vouch.Connected
 	for n.pause(ctx, healthEvery) {
 		reached := n.askPeers(ctx)
 		if now := len(reached) < len(n.peers.Names()); now != cut {
 			cut = now
 			n.post(ctx, MeshCut{On: cut})
 		}
+		if now := n.isolation(reached); now != from {
+			from = now
+			n.log.Info("cut off", "from", from, "peers_reached", len(reached))
+			n.post(ctx, Isolated{From: from})
+		}
 		if n.stateReachable(stateQuiet) {
 			n.health.alone.Store(false)
 			n.health.hint.Store("")
@@ -456,6 +463,62 @@
 	}
 }
 
+// isolation tells what this node is cut off from, by what the others say.
+func (n *Node) isolation(reached []*meshpb.HealthReply) vouch.Isolation {
+	if n.stateReachable(stateQuiet) {
+		return vouch.Connected
+	}
+	for _, h := range reached {
+		if h.StateReached {
+			return vouch.Alone
+		}
+	}
+	if len(reached) < len(n.peers.Names()) {
+		return vouch.Alone
+	}
+	return vouch.Outage
+}
+
+// askVouch asks a peer for a grant, and for what it has done by its own.
+func (n *Node) askVouch(ctx context.Context, name string) error {
+	sent := n.clock.Now()
+	data, err := msgpack.Marshal(mesh.Batch{Node: n.set.Label, Vouch: true})
+	if err != nil {
+		return fmt.Errorf("asking for a grant: %w", err)
+	}
+	reply, err := n.peers.Relay(ctx, name, data)
+	if err != nil {
+		return fmt.Errorf("asking for a grant: %w", err)
+	}
+	a, err := mesh.DecodeAnswers(reply)
+	switch {
+	case err != nil:
+		return fmt.Errorf("grant of %s can't be read: %w", name, err)
+	case a.Vouch == nil:
+		return fmt.Errorf("%s did not say", name)
+	}
+	said, err := a.Vouch.Unpack()
+	if err != nil {
+		return err
+	}
+	n.post(ctx, PeerSaid{Node: name, Sent: sent, Said: said})
+	return nil
+}
+
+// sayVouch answers a peer that asks, or not at all if the core is overloaded.
+func (n *Node) sayVouch(ctx context.Context, node string) *mesh.Vouch {
+	ticket := make(chan ReplyPeer, 1)
+	if !n.offer(PeerAsked{Ticket: ticket, Node: node}) {
+		return nil
+	}
+	select {
+	case r := <-ticket:
+		return mesh.PackVouch(r.Said)
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // askPeers asks the others, all at once, what they can reach, and notes which
 // of them the mesh reaches.
 func (n *Node) askPeers(ctx context.Context) []*meshpb.HealthReply {
@@ -466,6 +529,12 @@
 			h, err := n.peers.Health(ctx, name)
 			n.noteMesh(name, err)
 			replies <- h
+			if err != nil {
+				return
+			}
+			if err := n.askVouch(ctx, name); err != nil {
+				n.log.Debug("no grant", "peer", name, "err", err)
+			}
 		}()
 	}
 	var out []*meshpb.HealthReply
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -439,7 +439,7 @@
 		case <-ctx.Done():
 		}
 	}
-	if reply.Code == http.StatusMisdirectedRequest || reply.Code == http.StatusServiceUnavailable && n.health.hint.Load() != "" {
+	if !reply.Final && (reply.Code == http.StatusMisdirectedRequest || reply.Code == http.StatusServiceUnavailable && n.health.hint.Load() != "") {
 		reply = n.sendOn(ctx, report, reply)
 	}
 	n.answerReport(w, reply)
@@ -517,7 +517,13 @@
 		s.n.met.BadBatches.Inc()
 		return nil, err
 	}
-	data, err := msgpack.Marshal(s.n.serveBatch(ctx, b))
+	answers := &mesh.Answers{ID: b.ID}
+	if b.Vouch {
+		answers.Vouch = s.n.sayVouch(ctx, b.Node)
+	} else {
+		answers = s.n.serveBatch(ctx, b)
+	}
+	data, err := msgpack.Marshal(answers)
 	return &meshpb.RelayReply{Answers: data}, err
 }
 
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -24,6 +24,7 @@
 	"badgerbay/internal/standin"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
 )
 
 // sim plays nodes against the stand-ins in simulated time: messages take time,
@@ -51,6 +52,8 @@
 	hung      map[unit.MachineID]unit.Instant // machines that hang, and until when
 	deaf      map[unit.MachineID]unit.Instant // machines that nothing reaches, though their reports arrive
 	frozen    map[int]unit.Instant            // nodes that stand still while their clocks run on, and until when
+	held      []func()                        // what waits for the cut to end
+	zoneCut   unit.Zone                       // cut off from everything outside it
 	alone     map[int]bool                    // nodes without state service, and what follows from it
 	late      float64                         // the chance that a report comes once more, late
 	lateBy    time.Duration                   // how late at most
@@ -60,6 +63,7 @@
 
 type simNode struct {
 	index int
+	zone  unit.Zone
 	name  string
 	core  *Core
 	life  int
@@ -130,10 +134,13 @@
 	s.cloud.Boot = func() time.Duration { return time.Duration(2+s.rng.IntN(10)) * time.Second }
 	s.state.ValueBytes, s.state.TxnOps = s.set.Params.State.ValueBytes(), s.set.Params.State.TxnOps
 	for i := range 3 {
-		s.nodes = append(s.nodes, &simNode{index: i, name: fmt.Sprintf("n%d", i)})
-		s.start(s.nodes[i])
+		s.nodes = append(s.nodes, &simNode{index: i, name: fmt.Sprintf("n%d", i), zone: s.set.Params.Zones[i%2]})
+	}
+	for _, n := range s.nodes {
+		s.start(n)
 	}
 	s.every(100*time.Millisecond, s.world)
+	s.every(time.Second, s.peers)
 	return s
 }
 
@@ -162,7 +169,12 @@
 
 func (s *sim) start(n *simNode) {
 	set := *s.set
-	set.Label = n.name
+	set.Label, set.Location = n.name, string(n.zone)
+	for _, p := range s.nodes {
+		if p != n {
+			set.Peers = append(set.Peers, config.Peer{Label: p.name, Location: string(p.zone)})
+		}
+	}
 	n.life++
 	n.alive = true
 	life := n.life
@@ -179,6 +191,56 @@
 	tick()
 }
 
+// severed tells whether nothing passes between two places; "" is the region,
+// where the state service and the cloud are.
+func (s *sim) severed(a, b unit.Zone) bool {
+	return s.zoneCut != "" && (a == s.zoneCut) != (b == s.zoneCut)
+}
+
+// stateless tells whether a node does not reach the state service.
+func (s *sim) stateless(n *simNode) bool { return s.alone[n.index] || s.severed(n.zone, "") }
+
+// meets tells whether one node reaches another over the mesh.
+func (s *sim) meets(a, b *simNode) bool {
+	return a.alive && b.alive && !s.alone[a.index] && !s.alone[b.index] && !s.severed(a.zone, b.zone)
+}
+
+// peers lets the nodes ask each other for grants, and find out what they are
+// cut off from.
+func (s *sim) peers() {
+	for _, n := range s.nodes {
+		if !n.alive {
+			continue
+		}
+		from, reached, stateful := vouch.Connected, 0, false
+		for _, p := range s.nodes {
+			if p != n && s.meets(n, p) && !s.lost() {
+				reached++
+				stateful = stateful || !s.stateless(p) && !s.state.Down
+				s.askPeer(n, p)
+			}
+		}
+		if s.stateless(n) || s.state.Down {
+			from = vouch.Alone
+			if reached == 2 && !stateful {
+				from = vouch.Outage
+			}
+		}
+		s.step(n, Isolated{From: from})
+	}
+}
+
+func (s *sim) askPeer(n, p *simNode) {
+	life, sent := n.life, s.now
+	s.after(s.latency(), func() {
+		if p.alive {
+			s.step(p, PeerAsked{Node: n.name, Ticket: func(r ReplyPeer) {
+				s.reply(n, life, PeerSaid{Node: p.name, Sent: sent, Said: r.Said})
+			}})
+		}
+	})
+}
+
 func (s *sim) crash(n *simNode, back time.Duration) {
 	n.alive = false
 	n.life++
@@ -235,18 +297,20 @@
 		e.Ticket.(func(ReplyReport))(e)
 	case ReplyAsk:
 		e.Ticket.(func(ReplyAsk))(e)
+	case ReplyPeer:
+		e.Ticket.(func(ReplyPeer))(e)
 	case DoLead:
 		s.after(s.latency(), func() { s.doLead(n, life, e.Effect) })
 	case LoadAll:
 		s.after(s.latency(), func() {
 			jobs, _, err := s.state.List(checkpoint.KeyPrefix)
 			rounds, _, err2 := s.state.List(round0)
-			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && err2 == nil && !s.alone[n.index], Jobs: jobs, Rounds: rounds})
+			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && err2 == nil && !s.stateless(n), Jobs: jobs, Rounds: rounds})
 		})
 	case ReadJob:
 		s.after(s.latency(), func() {
 			item, err := s.state.Get(checkpoint.Key(e.Job))
-			s.reply(n, life, JobRead{Job: e.Job, OK: err == nil && !s.alone[n.index], Item: item})
+			s.reply(n, life, JobRead{Job: e.Job, OK: err == nil && !s.stateless(n), Item: item})
 		})
 	case Commit:
 		s.after(s.latency(), func() { s.commit(n, life, e, false) })
@@ -277,7 +341,7 @@
 
 func (s *sim) doLead(n *simNode, life int, e leadership.Effect) {
 	sent := s.now
-	if s.alone[n.index] {
+	if s.stateless(n) {
 		s.after(1500*time.Millisecond, func() { s.unanswered(n, life, e, sent) })
 		return
 	}
@@ -333,7 +397,7 @@
 	h, stamp, err := s.holder()
 	switch {
 	case !n.alive || n.life != life || n.core.lead.Epoch() != e.Prev:
-	case err != nil || s.alone[n.index]:
+	case err != nil || s.stateless(n):
 		s.after(150*time.Millisecond, func() { s.readBackSeal(n, life, e) })
 	case h != e.Holder:
 		s.reply(n, life, Lead{leadership.Deposed{}})
@@ -369,7 +433,7 @@
 		return
 	}
 	again := func(unsure bool) { s.after(150*time.Millisecond, func() { s.commit(n, life, c, unsure) }) }
-	if s.alone[n.index] {
+	if s.stateless(n) {
 		again(true)
 		return
 	}
@@ -412,6 +476,11 @@
 		if s.now.Before(s.deaf[e.Machine]) {
 			return nil // it never arrives
 		}
+		if h := s.cloud.Machines[e.Machine]; h != nil && s.severed(n.zone, h.Offer.Zone) {
+			// Held by the network, and delivered when the cut ends.
+			s.held = append(s.held, func() { exec() })
+			return nil
+		}
 		if h := s.cloud.Machines[e.Machine]; h != nil && h.Worker != nil && !h.Failed {
 			h.Worker.Advance(s.now)
 			return h.Worker.Do(s.now, e.Epoch, e.Shift, e.Orders)
@@ -432,7 +501,21 @@
 	})
 }
 
+// heal ends the cut of a zone; what it held arrives.
+func (s *sim) heal() {
+	s.zoneCut = ""
+	held := s.held
+	s.held = nil
+	for _, do := range held {
+		s.after(s.latency(), do)
+	}
+}
+
 func (s *sim) callCloud(n *simNode, life int, e Effect) {
+	if s.severed(n.zone, "") {
+		s.after(5*time.Second, func() { s.cloudSilent(n, life, e) })
+		return
+	}
 	s.after(50*time.Millisecond, func() {
 		switch e := e.(type) {
 		case CallHire:
@@ -466,6 +549,20 @@
 	})
 }
 
+// cloudSilent is what comes of a call that does not reach the cloud.
+func (s *sim) cloudSilent(n *simNode, life int, e Effect) {
+	switch e := e.(type) {
+	case CallHire:
+		s.reply(n, life, HireDone{Name: e.Name, Offer: e.Offer, Sent: s.now, Verdict: rental.Uncertain})
+	case CallRelease:
+		s.reply(n, life, ReleaseDone{Machines: e.Machines})
+	case CallList:
+		s.reply(n, life, ListDone{})
+	case CallFlavors:
+		s.reply(n, life, FlavorsDone{})
+	}
+}
+
 func (s *sim) offMachine(id unit.MachineID) {
 	for task, m := range s.on {
 		if m == id {
@@ -561,6 +658,14 @@
 		})
 	}
 	s.after(4*time.Second, func() { follow((node+1)%len(s.nodes), time.Second) })
+	if s.severed(n.zone, w.Zone) {
+		s.held = append(s.held, func() {
+			if n.alive {
+				s.step(n, Reported{Report: r, Ticket: func(ReplyReport) {}})
+			}
+		})
+		return
+	}
 	if !n.alive || s.cut[node] || s.lost() {
 		return
 	}
@@ -570,7 +675,7 @@
 		}
 		s.step(n, Reported{Report: r, Ticket: func(a ReplyReport) {
 			s.after(s.latency(), func() {
-				if s.cut[node] || answered || s.now.Before(s.hung[w.ID]) || s.now.Before(s.deaf[w.ID]) {
+				if s.cut[node] || s.severed(n.zone, w.Zone) || answered || s.now.Before(s.hung[w.ID]) || s.now.Before(s.deaf[w.ID]) {
 					return
 				}
 				switch {
@@ -656,7 +761,7 @@
 	try()
 	s.every(2*time.Second, func() {
 		for _, node := range s.nodes {
-			if node.alive && j.submitted && !j.over() {
+			if node.alive && j.submitted && !j.over() && !s.severed(node.zone, "") {
 				s.step(node, Noticed{Job: id})
 				s.poll(node, id, j)
 			}
@@ -697,7 +802,7 @@
 		return
 	}
 	for _, n := range s.nodes {
-		if n.alive {
+		if n.alive && !s.severed(n.zone, "") {
 			s.step(n, Asked{Job: id, Withdraw: true, Ticket: func(a ReplyAsk) {
 				if a.Outcome == intake.Known && s.now.Before(a.Until) {
 					s.hear(id, j, a.Status)
@@ -746,7 +851,8 @@
 func (s *sim) finish() {
 	s.late = 0
 	s.loss, s.dup, s.state.Down, s.cloud.Down = 0, 0, false, false
-	s.cut, s.alone = map[int]bool{}, map[int]bool{}
+	s.cut, s.alone, s.frozen = map[int]bool{}, map[int]bool{}, map[int]unit.Instant{}
+	s.heal()
 	s.known()
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		if s.jobs[id].spec.Service {
@@ -1019,6 +1125,81 @@
 	}
 }
 
+// TestZoneCuts plays days on which a zone is cut off from everything, state
+// service and cloud included, for less and more than a lease, with one node or
+// two in it, the leader among them or not; with crashes, freezes, withdrawals
+// and lonely nodes in the cut. What was held arrives after it.
+func TestZoneCuts(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, 500+seed)
+			s.loss, s.dup, s.late = 0.02, 0.05, 0.05
+			s.every(75*time.Second, func() {
+				if s.loss == 0 {
+					return
+				}
+				s.zoneCut = s.set.Params.Zones[s.rng.IntN(2)]
+				s.after(time.Duration(5+s.rng.IntN(60))*time.Second, s.heal)
+			})
+			s.every(23*time.Second, func() {
+				n := s.nodes[s.rng.IntN(3)]
+				switch {
+				case s.loss == 0 || !n.alive:
+				case s.rng.IntN(3) == 0:
+					s.crash(n, time.Duration(20+s.rng.IntN(4000))*time.Millisecond)
+				case s.rng.IntN(2) == 0:
+					s.frozen[n.index] = s.now.Add(time.Duration(100<<s.rng.IntN(9)) * time.Millisecond)
+				default:
+					s.alone[n.index] = true
+					s.after(time.Duration(5+s.rng.IntN(40))*time.Second, func() { delete(s.alone, n.index) })
+				}
+			})
+			s.every(17*time.Second, func() {
+				ids := slices.Sorted(maps.Keys(s.cloud.Machines))
+				if len(ids) == 0 || s.loss == 0 {
+					return
+				}
+				if id := ids[s.rng.IntN(len(ids))]; s.rng.IntN(2) == 0 {
+					s.hung[id] = s.now.Add(time.Duration(5+s.rng.IntN(35)) * time.Second)
+				} else if s.cloud.Machines[id].Worker != nil {
+					s.take(id)
+				}
+			})
+			s.load()
+			for i, id := range []unit.JobID{"wk-000003", "wk-000004", "wk-000007", "wk-000010", "wk-000008"} {
+				s.after(time.Duration(12+17*i)*time.Second, func() { s.withdraw(id) })
+			}
+			s.run(220 * time.Second)
+			s.finish()
+		})
+	}
+}
+
+// TestCutZoneKeepsItsReplicas: workers that are cut off together with a node
+// live through a cut that outlasts their leases, and nothing of theirs is
+// started elsewhere; without the grants all in the zone were killed.
+func TestCutZoneKeepsItsReplicas(t *testing.T) {
+	for _, inside := range []bool{true, false} {
+		s := newSim(t, 21)
+		s.submit(1, spread, 0)
+		s.submit(2, spread, 0)
+		s.run(30 * time.Second)
+		before := s.starts
+		l := s.leader()
+		if s.zoneCut = s.nodes[1].zone; inside == (l.zone != s.zoneCut) {
+			s.zoneCut = s.nodes[0].zone
+		}
+		s.run(42 * time.Second)
+		s.heal()
+		s.run(20 * time.Second)
+		if s.starts != before || len(s.on) != 2*spread.Tasks {
+			t.Errorf("leader inside %v: %d replicas started anew, %d run of %d", inside, s.starts-before, len(s.on), 2*spread.Tasks)
+		}
+		s.finish()
+	}
+}
+
 // TestRestartInEachStepOfAnElection ends a process before each of its requests
 // to the state service in turn, while it stands for election or leads, and
 // starts it again at once: late answers to the one must not serve the other.
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -17,6 +17,7 @@
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
 )
 
 // term is what a node holds while it leads: the working copy of everything
@@ -53,6 +54,7 @@
 	nextStuck  unit.Instant
 	waiting    map[unit.JobID][]waiter
 	reach      reach
+	ledger     *vouch.Ledger
 	expect     map[unit.Class]round.Expect
 	lastWork   map[unit.Team]unit.Instant // when the team last had work
 	quick      []unit.Class               // classes that must start faster than machines come up
@@ -78,6 +80,8 @@
 	w, p := c.set.Params.Workers, c.set.Params
 	t.fleet = fleet.New(fleet.Times{Report: w.ReportInterval(), Lease: w.Lease()}, epoch, now, t.job)
 	t.fleet.SetTypes(c.types)
+	t.ledger = vouch.NewLedger(c.set, now)
+	t.fleet.SetVouched(t.ledger.Zone)
 	t.cloud = statestore.NewBucket(p.Cloud.RPS*0.8, max(1, p.Cloud.RPS))
 	t.objectives()
 	return t
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -163,8 +163,17 @@
 	first    unit.Epoch // with which the leader began
 	tombs    int
 	gone     map[unit.MachineID]unit.Instant // machines surely gone, and since when
+	vouched  func(unit.Zone) (Vouched, bool) // nil: nobody else may keep leases
 }
 
+// Vouched says what nodes other than the leader may have done to keep the
+// leases of a zone's workers, by grants that leaders gave them: at Last one may
+// have kept some, from then to Free surely none did, and after End none can.
+type Vouched struct{ Last, Free, End unit.Instant }
+
+// SetVouched tells where to find what others may have done for a zone.
+func (f *Fleet) SetVouched(of func(unit.Zone) (Vouched, bool)) { f.vouched = of }
+
 // New returns an empty fleet of a leader that acquired its epoch at takeover.
 func New(times Times, epoch unit.Epoch, takeover unit.Instant, jobs func(unit.JobID) *checkpoint.Job) *Fleet {
 	return &Fleet{times: times, epoch: epoch, first: epoch, takeover: takeover, jobs: jobs,
@@ -603,10 +612,19 @@
 }
 
 // LeaseOver tells whether the machine's worker has surely lost its lease: it
-// counts from the last answer that anybody entitled can have given.
+// counts from the last answer that anybody entitled can have given, a node that
+// keeps leases by a grant included.
 func (f *Fleet) LeaseOver(now unit.Instant, m *Machine) bool {
 	last := max(m.LastAnswer, f.takeover)
 	life := time.Duration(float64(f.times.Lease)*(1+2*drift)) + leaseMargin
+	if f.vouched != nil {
+		if v, ok := f.vouched(m.Zone); ok {
+			// It was over while surely nobody kept it, or it is so since nobody
+			// can keep it any more.
+			last = max(last, v.Last)
+			return min(now, v.Free).Sub(last) > life || now.Sub(max(last, v.End)) > life
+		}
+	}
 	return now.Sub(last) > life
 }
 
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -201,6 +201,10 @@
 	return m.until
 }
 
+// LastEntitled is when the last entitlement of this node ends, or has ended; 0
+// if it never had one.
+func (m *Machine) LastEntitled() unit.Instant { return m.until }
+
 // Leader is the node that was last seen to hold the key, or "".
 func (m *Machine) Leader() string {
 	if m.phase == leading {
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -9,6 +9,7 @@
 
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
 	"badgerbay/internal/wire"
 )
 
@@ -26,6 +27,8 @@
 	Node    string            `msgpack:"n" json:"n"` // that hands it over
 	Reports wire.List[Report] `msgpack:"r,omitempty" json:"r,omitempty"`
 	Asks    wire.List[Ask]    `msgpack:"a,omitempty" json:"a,omitempty"`
+	// Vouch asks for a grant, and for what the node has done by its own.
+	Vouch bool `msgpack:"v,omitempty" json:"v,omitempty"`
 }
 
 // Ask is a withdrawal on its way to the leader.
@@ -62,6 +65,30 @@
 	ID      string              `msgpack:"id" json:"id"`
 	Reports wire.List[Answer]   `msgpack:"r,omitempty" json:"r,omitempty"`
 	Asks    wire.List[AskState] `msgpack:"a,omitempty" json:"a,omitempty"`
+	Vouch   *Vouch              `msgpack:"v,omitempty" json:"v,omitempty"`
+}
+
+// Vouch is what a node says of grants; see package vouch.
+type Vouch struct {
+	Epoch   unit.Epoch                `msgpack:"e" json:"e"`
+	LifeMs  int64                     `msgpack:"l" json:"l"`
+	QuietMs int64                     `msgpack:"q" json:"q"`
+	Owing   wire.List[unit.MachineID] `msgpack:"o,omitempty" json:"o,omitempty"`
+}
+
+// PackVouch makes the form of it that travels.
+func PackVouch(s vouch.Said) *Vouch {
+	return &Vouch{Epoch: s.Epoch, LifeMs: s.Life.Milliseconds(), QuietMs: s.Quiet.Milliseconds(), Owing: s.Owing}
+}
+
+// Unpack undoes PackVouch. What can't be is taken for no grant.
+func (v *Vouch) Unpack() (vouch.Said, error) {
+	const most = 1 << 40 // milliseconds: some decades
+	if v.LifeMs < 0 || v.LifeMs > most || v.QuietMs < 0 || v.QuietMs > most {
+		return vouch.Said{}, errors.New("a grant with an impossible time")
+	}
+	return vouch.Said{Epoch: v.Epoch, Life: time.Duration(v.LifeMs) * time.Millisecond,
+		Quiet: time.Duration(v.QuietMs) * time.Millisecond, Owing: v.Owing}, nil
 }
 
 // Answer answers one report.
--- /dev/null
+++ b/internal/vouch/vouch.go
@@ -0,0 +1,164 @@
+// Package vouch lets a node that is cut off together with its zone's workers
+// keep their leases for a while. The leader grants it the right beforehand, in
+// its epoch and for a bounded time; the node gives no orders by it. Whoever
+// leads counts a lease from the last moment at which it may have been used.
+package vouch
+
+import (
+	"time"
+
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/unit"
+)
+
+const (
+	// slack is what is left of the time in which a withdrawn job's tasks must be
+	// gone: for drift, for reports that are under way, and for the list of the
+	// machines that owe an exit, which is as old as the grant.
+	slack = 3 * time.Second
+	// leastLife and mostLife bound the life of a grant: less is of no use, and
+	// a longer one keeps lost work from being placed anew.
+	leastLife = 5 * time.Second
+	mostLife  = 30 * time.Second
+)
+
+// Life is how long a grant lasts from the request for it, or 0 if none is
+// given. A worker may be kept to the end of a grant and lives for a lease after
+// that; a job withdrawn just after the grant must be gone by then.
+func Life(w config.Workers) time.Duration {
+	life := w.Cancel() - w.Lease() - slack
+	if life < leastLife {
+		return 0
+	}
+	return min(life, mostLife)
+}
+
+// Said is what a node answers to another that asks it.
+type Said struct {
+	// Epoch and Life are of a grant; Life 0: none is given.
+	Epoch unit.Epoch
+	Life  time.Duration
+	// Owing are the machines that must end something: they are not kept.
+	Owing []unit.MachineID
+	// Quiet is how long ago, at least, the node kept a worker by a grant.
+	Quiet time.Duration
+}
+
+// Zones tells which node may keep the workers of which zone: those in it, or
+// all where there is none.
+type Zones map[unit.Zone]bool
+
+// ZonesOf returns the zones that hold a node.
+func ZonesOf(set *config.Settings) Zones {
+	z := Zones{unit.Zone(set.Location): true}
+	for _, p := range set.Peers {
+		z[unit.Zone(p.Location)] = true
+	}
+	return z
+}
+
+// serves tells whether a node at the location may keep workers of the zone.
+func (z Zones) serves(location string, zone unit.Zone) bool {
+	return zone != "" && (unit.Zone(location) == zone || !z[zone])
+}
+
+// Verdict on a report that this node can't answer as leader.
+type Verdict int
+
+// Verdicts.
+const (
+	Pass   Verdict = iota // not cut off: the leader is to answer it
+	SendOn                // cut off, but the worker may reach others
+	Keep                  // answer it by the grant
+)
+
+// Isolation tells what a node is cut off from.
+type Isolation int
+
+// Isolations.
+const (
+	Connected Isolation = iota
+	// Alone: the state service does not answer this node.
+	Alone
+	// Outage: it answers none of the nodes, and all of these are heard.
+	Outage
+)
+
+const (
+	// lost: a node that no leader has answered for so long does not reach one.
+	lost = 2500 * time.Millisecond
+	// tried is how long it counts that a worker was sent on: time for it to
+	// find another node, or to come back.
+	tried = 30 * time.Second
+	// known bounds the workers that are remembered.
+	known = 10_000
+)
+
+// Keeper is the grant that a node holds, and what it did by it.
+type Keeper struct {
+	location string
+	zones    Zones
+	started  unit.Instant
+	epoch    unit.Epoch
+	heard    unit.Instant // when the last request left that the leader answered
+	base     unit.Instant // when the request for the grant left
+	until    unit.Instant
+	owing    map[unit.MachineID]bool
+	last     unit.Instant // 0: never kept a worker
+	sent     map[unit.MachineID]unit.Instant
+}
+
+// NewKeeper returns the keeper of a process that has started at now.
+func NewKeeper(location string, zones Zones, now unit.Instant) *Keeper {
+	return &Keeper{location: location, zones: zones, started: now, sent: map[unit.MachineID]unit.Instant{}}
+}
+
+// Take takes in a grant that was asked for at base.
+func (k *Keeper) Take(base unit.Instant, s Said) {
+	if s.Epoch != 0 {
+		k.heard = max(k.heard, base)
+	}
+	if s.Life <= 0 || s.Epoch < k.epoch || s.Epoch == k.epoch && base < k.base {
+		return
+	}
+	k.epoch, k.base, k.until = s.Epoch, base, base.Add(s.Life)
+	k.owing = make(map[unit.MachineID]bool, len(s.Owing))
+	for _, id := range s.Owing {
+		k.owing[id] = true
+	}
+}
+
+// Base is when the request for the grant left.
+func (k *Keeper) Base() unit.Instant { return k.base }
+
+// Until is when the grant ends.
+func (k *Keeper) Until() unit.Instant { return k.until }
+
+// Epoch is the epoch of the grant.
+func (k *Keeper) Epoch() unit.Epoch { return k.epoch }
+
+// Judge decides on a report. A worker that may reach another node is sent on
+// once: the leader, if there is one, does better by it.
+func (k *Keeper) Judge(now unit.Instant, cut Isolation, r *fleet.Report) Verdict {
+	if cut == Connected || k.epoch == 0 || now.Sub(k.heard) < lost {
+		return Pass
+	}
+	may := now.Before(k.until) && k.zones.serves(k.location, r.Zone) && r.Seal <= k.epoch && !k.owing[r.Machine]
+	if !may {
+		return SendOn
+	}
+	if at, ok := k.sent[r.Machine]; cut != Outage && (!ok || now.Sub(at) > tried) {
+		if len(k.sent) > known {
+			clear(k.sent)
+		}
+		k.sent[r.Machine] = now
+		return SendOn
+	}
+	k.sent[r.Machine], k.last = now, now
+	return Keep
+}
+
+// Quiet is how long ago, at least, this node kept a worker; what an earlier
+// process of it did was before this one started.
+func (k *Keeper) Quiet(now unit.Instant) time.Duration { return now.Sub(max(k.last, k.started)) }
