Keep machines for old jobs whose tasks are larger than the holes

Holes on full machines were filled with tasks of half the size as they opened (log of starts per job), and a task stopped after 29 s passed for started, since its time to save was counted as run. Now an old job that finds no room has machines kept for it; the time to save is no run; past 180 s all tasks that never ran go first. In return jobs are old from 140 s on, not 110. Work that nothing is expected of stays off dear machines unless it is old, and the task that has run longest of a job with nothing done is let run. Ruled out: limits, images, and the bound on old work alone.

--- a/internal/checkpoint/checkpoint_test.go
+++ b/internal/checkpoint/checkpoint_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
@@ -174,3 +175,18 @@
 		}
 	})
 }
+
+// TestSavingIsNoRun: a task that is told to stop too early has not started to
+// its user, however long it takes to save.
+func TestSavingIsNoRun(t *testing.T) {
+	now := unit.Instant(time.Hour)
+	j := NewJob("wk-000001", NewRecord(Spec{Tasks: 2, CheckpointS: 20, SaveS: 6}, 0), 1, now)
+	for i, stopped := range []time.Duration{Counts - time.Second, Counts + time.Second} {
+		p := &Placement{Job: j, Task: unit.TaskIndex(i), State: Running, Ran: now, Halting: true, Halted: now.Add(stopped)}
+		j.Start(p, "a")
+		j.End(now.Add(stopped+6*time.Second), p, "a", true)
+	}
+	if fresh := j.Fresh(2); len(fresh) != 1 || fresh[0] != 0 {
+		t.Errorf("tasks %v have never run for long enough, want task 0", fresh)
+	}
+}
--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -37,6 +37,7 @@
 	// Halting is set once the task has been told to stop, with Leave.
 	Halting bool
 	Leave   time.Duration
+	Halted  unit.Instant // when it was first told to stop
 	Since   unit.Instant
 	Ran     unit.Instant // when it was first seen running
 	// EndSeq is the job's sequence number at which the end was taken in; the
@@ -129,7 +130,7 @@
 		return
 	}
 	delete(j.Live, p.Task)
-	if p.Ran != 0 && now.Sub(p.Ran) >= Counts {
+	if p.ranBy(now) >= Counts {
 		j.Ran.Add(p.Task)
 	}
 	j.ByZone[zone]--
@@ -144,6 +145,19 @@
 	p.EndSeq = j.Seq
 }
 
+// ranBy is how long the task has run, up to when it was told to stop. What it
+// took to save after that is no run: tasks stopped a little too early passed
+// for started, and then waited behind all others for their next start.
+func (p *Placement) ranBy(now unit.Instant) time.Duration {
+	if p.Ran == 0 {
+		return 0
+	}
+	if p.Halting {
+		now = min(now, p.Halted)
+	}
+	return now.Sub(p.Ran)
+}
+
 // Complete notes that a task has completed.
 func (j *Job) Complete(now unit.Instant, i unit.TaskIndex) {
 	if int(i) >= j.Spec.Tasks || !j.Done.Add(i) {
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -483,7 +483,7 @@
 	j := t.jobs[in.Job]
 	if j == nil {
 		t.addJob(now, in.Job, in.Item)
-		t.c.log.Info("job taken in", "job", in.Job, "team", t.jobs[in.Job].Spec.Team, "tasks", t.jobs[in.Job].Spec.Tasks, "epoch", t.epoch)
+		t.c.log.Info("job taken in", "job", in.Job, "class", t.jobs[in.Job].Spec.Class, "team", t.jobs[in.Job].Spec.Team, "tasks", t.jobs[in.Job].Spec.Tasks, "epoch", t.epoch)
 		return
 	}
 	if j.Writing || in.Item.Stamp <= j.Version {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -652,8 +652,11 @@
 		return
 	}
 	m := f.machines[p.Machine]
-	if !p.Halting && m != nil {
-		m.live.Halting++
+	if !p.Halting {
+		p.Halted = now
+		if m != nil {
+			m.live.Halting++
+		}
 	}
 	p.Halting, p.Leave = true, leave
 	if p.State == checkpoint.Pending && p.Seal == 0 {
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -119,6 +119,7 @@
 	taken   map[*checkpoint.Placement]bool
 	rooms   map[*checkpoint.Job]checkpoint.Room
 	full    bool
+	first   bool           // the turn at hand is one of old work
 	nowhere map[shape]bool // what fits no machine
 
 	missing []shortage                  // of the room kept free
@@ -139,6 +140,8 @@
 	// spareForOld is what old jobs may still start before others, in CPUs.
 	spareForOld float64
 
+	elders map[*checkpoint.Job]*checkpoint.Placement // see eldest
+
 	began map[*checkpoint.Job]int // tasks that this plan starts
 	// promised counts the tasks of a job that wait for machines to come.
 	promised map[*checkpoint.Job]int
@@ -150,7 +153,7 @@
 		placed: map[*bin]int{}, claimed: map[*checkpoint.Job]unit.Ranges{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
 		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{},
-		ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}, promised: map[*checkpoint.Job]int{}}
+		elders: map[*checkpoint.Job]*checkpoint.Placement{}, ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}, promised: map[*checkpoint.Job]int{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
@@ -220,9 +223,15 @@
 const (
 	// neglected, in seconds: what has waited so long and has not begun goes
 	// before others, so that nothing waits for ever behind what goes first.
-	neglected = 110
+	neglected = 140
 	// neglectedPart bounds the part of the machines that such work may have.
 	neglectedPart = 0.3
+	// reservedPart: of what a machine could hold of an old job's tasks, one in
+	// so many is counted on when it is reserved.
+	reservedPart = 2
+	// overdue, in seconds: what has waited so long goes before others with all
+	// its tasks that never ran, whatever part of the machines that takes.
+	overdue = 180
 )
 
 // isOld tells whether the job may have been neglected.
@@ -362,6 +371,7 @@
 		return 0
 	}
 	tasks := p.claim(j, left, t.first)
+	p.first = t.first
 	bins := p.ranked(j)
 	if j.Spec.Gang && !p.holdsAll(j, bins, left) {
 		return p.wholeGang(j, left)
@@ -390,9 +400,34 @@
 	if n == 0 || p.full {
 		return 0
 	}
+	if t.first {
+		p.reserve(j, n)
+	}
 	return p.noRoom(j, n, t.guaranteed)
 }
 
+// reserve keeps machines for n tasks of an old job that found no room: what
+// becomes free there goes to nobody after it. Smaller tasks filled every hole
+// as it opened, and larger ones waited behind them for ever.
+func (p *planner) reserve(j *checkpoint.Job, n int) {
+	var held []*bin
+	for _, b := range p.bins {
+		if p.allowed(j, b) && p.mayUse(j, b) && b.typ.Capacity.Fits(j.Spec.Need()) && p.zoneRoom(j, b.zone) > 0 {
+			held = append(held, b)
+		}
+	}
+	// Those that need the least to be given back first.
+	slices.SortStableFunc(held, func(x, y *bin) int { return cmp.Compare(y.free.CPUs, x.free.CPUs) })
+	most := int(neglectedPart * float64(len(p.bins)))
+	for i, b := range held {
+		if n <= 0 || i == most {
+			return
+		}
+		n -= max(1, fitCount(b.typ.Capacity, j.Spec.Need())/reservedPart)
+		b.free = checkpoint.Resources{}
+	}
+}
+
 // rush tells whether the job must start sooner than the bin's machine could
 // fetch its image.
 func (p *planner) rush(j *checkpoint.Job, b *bin) bool {
@@ -403,10 +438,13 @@
 // firstTasks is how many tasks an old job may start before others.
 func (p *planner) firstTasks(j *checkpoint.Job) int {
 	n := int(p.spareForOld / j.Spec.CPUs)
+	if float64(p.w.WallMs-j.Accepted) >= overdue*1000 {
+		n = math.MaxInt32
+	}
 	if len(j.Live) == 0 {
 		n = max(n, 1)
 	}
-	n = len(j.Fresh(max(0, n)))
+	n = len(j.Fresh(min(max(0, n), j.Queue.Len())))
 	p.spareForOld -= float64(n) * j.Spec.CPUs
 	return n
 }
@@ -851,15 +889,41 @@
 }
 
 // mustRun tells whether the placement belongs to a job that waited long for it,
-// and has not run for long enough to count as started, or is all that runs of a
-// job with nothing done, which is let run to its end.
+// and has not run for long enough to count as started, or has run longest of a
+// job with nothing done, and is let run to its end.
 func (p *planner) mustRun(v *checkpoint.Placement) bool {
 	j := v.Job
 	if !p.isOld(j) {
 		return false
 	}
 	fresh := !j.Ran.Has(v.Task) && (v.State != checkpoint.Running || p.w.Now.Sub(v.Ran) < checkpoint.Counts)
-	return fresh || len(j.Live) == 1 && len(j.Done) == 0
+	return fresh || len(j.Done) == 0 && p.eldest(j) == v
+}
+
+// eldest is the placement of the job that has run longest.
+func (p *planner) eldest(j *checkpoint.Job) *checkpoint.Placement {
+	if v, ok := p.elders[j]; ok {
+		return v
+	}
+	var out *checkpoint.Placement
+	for _, v := range j.Live {
+		if out == nil || elder(v, out) {
+			out = v
+		}
+	}
+	p.elders[j] = out
+	return out
+}
+
+// elder tells whether one placement of a job has run longer than another.
+func elder(v, w *checkpoint.Placement) bool {
+	switch {
+	case (v.Ran == 0) != (w.Ran == 0):
+		return v.Ran != 0
+	case v.Ran != w.Ran:
+		return v.Ran < w.Ran
+	}
+	return v.Task < w.Task
 }
 
 // lost is the work, in CPU seconds, that stopping a placement throws away.
--- a/internal/round/plan_test.go
+++ b/internal/round/plan_test.go
@@ -298,3 +298,34 @@
 		}
 	})
 }
+
+// TestOldJobsGetWholeMachines: a job that has waited long, and whose tasks are
+// larger than the holes, gets a machine kept for it. Smaller tasks of a higher
+// priority filled every hole as it opened, and its last tasks began after four
+// minutes.
+func TestOldJobsGetWholeMachines(t *testing.T) {
+	s := newScene(t)
+	s.w.Teams = map[unit.Team]config.Team{"red": {}, "blue": {}}
+	for i := range 4 {
+		s.machine(unit.MachineID(fmt.Sprintf("host-%d", i)), "a", false)
+	}
+	small := s.job("wk-000001", task("red", checkpoint.Standard, 12, 2))
+	for i := range 4 { // half of each machine is taken
+		s.place(small, unit.TaskIndex(i), unit.MachineID(fmt.Sprintf("host-%d", i)))
+	}
+	small.Accepted = 300_000
+	s.job("wk-000002", task("blue", checkpoint.BestEffort, 1, 4))
+	s.w.WallMs = 320_000
+	left := 4
+	for _, st := range s.plan().Record.Starts {
+		if st.Job == "wk-000001" {
+			left--
+		}
+	}
+	if left == 0 {
+		t.Error("small tasks took every hole from a job that has waited for five minutes")
+	}
+	if left == 4 {
+		t.Error("one old task keeps everything from the others")
+	}
+}
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -277,6 +277,12 @@
 		p.w.Expect[j.Spec.Class] == Expect{} && !j.Begun()
 }
 
+// unexpecting tells whether nothing is expected of the job's class: it has no
+// deadline and no objective.
+func (p *planner) unexpecting(j *checkpoint.Job) bool {
+	return !j.Spec.Service && j.Spec.DeadlineS <= 0 && p.w.Expect[j.Spec.Class] == Expect{}
+}
+
 // startTime is how long, in seconds, a new machine takes to run the job.
 func startTime(j *checkpoint.Job, t *fleet.Type) float64 {
 	start := t.Boot.Seconds()
@@ -306,7 +312,10 @@
 // can wait stays off dear machines, unless a service or a guarantee keeps them
 // anyway: it would keep them from being returned.
 func (p *planner) mayUse(j *checkpoint.Job, b *bin) bool {
-	if j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.patience(j) < patient || p.guards {
+	if j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.guards {
+		return true
+	}
+	if p.patience(j) < patient && (p.first || !p.unexpecting(j)) {
 		return true
 	}
 	return b.m.Anchored() || p.isCheap(j, b.typ, b.spot)
