Return many silent machines too, where it surely is no cut

Ruled out: room. Many are returned now if nobody else is falling silent any more and at least half of the zone goes on; machines with recorded tasks that never reported to this leader count too. A cut is left alone as before: TestThirdOfMachinesDies fails without either condition. In the tests' large world each machine now reports in its turn.

--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -342,36 +342,64 @@
 	return out
 }
 
-// silent picks a machine that has stopped reporting while nearly all others
-// go on. Returning it proves that its tasks are gone sooner than its lease
-// does. Many silent machines at once look like a cut, and are left alone.
+// silent picks machines that have stopped reporting while others go on.
+// Returning one proves that its tasks are gone sooner than its lease does. Many
+// silent machines may be a cut, and are left alone unless they surely are none:
+// nobody else is falling silent any more, and most machines of the zone go on.
 func (t *term) silent(now unit.Instant) map[unit.MachineID]bool {
-	silent := map[unit.MachineID]bool{}
-	up, quiet := 0, 0
-	limit := t.silentLimit()
+	// While a node is out of reach, a machine may be cut off with it; and a
+	// leader that stood still itself does not know who went on.
+	if t.c.cut || t.c.dozy(now) {
+		return nil
+	}
+	zones := map[unit.Zone]*hush{}
+	var all hush
+	limit, interval := t.silentLimit(), t.c.set.Params.Workers.ReportInterval()
 	for _, m := range t.fleet.Machines() {
-		if !m.Up {
+		if !m.Up && !m.Busy() || m.Releasing || m.Failed {
 			continue
 		}
-		up++
-		last := now.Sub(max(m.LastReport, t.acquired))
-		if last > t.c.set.Params.Workers.ReportInterval()*3/2 {
-			quiet++
-		}
-		if last > limit {
-			silent[m.ID] = true
+		z := zones[m.Zone]
+		if z == nil {
+			z = &hush{}
+			zones[m.Zone] = z
 		}
+		last := now.Sub(max(m.LastReport, t.acquired))
+		z.count(last, limit, interval*3/2, m.ID)
+		all.count(last, limit, interval*3/2, m.ID)
 	}
 	// Those that miss their first report count too: in a cut the machines fall
 	// silent one after the other, and the first must not be returned alone.
-	// And while a node is out of reach, a machine may be cut off with it.
-	// Nor does a leader that stood still itself know who went on.
-	if t.c.cut || t.c.dozy(now) || quiet > max(1, up/10) || up < 3 {
-		return nil
+	few := all.quiet <= max(1, all.machines/10)
+	silent := map[unit.MachineID]bool{}
+	for _, z := range zones {
+		settled := all.quiet == len(all.silent) && z.quiet <= z.machines/2
+		if all.machines < 3 || !few && !settled {
+			continue
+		}
+		for _, id := range z.silent {
+			silent[id] = true
+		}
 	}
 	return silent
 }
 
+// hush counts the machines that are heard, and those that are not.
+type hush struct {
+	machines, quiet int
+	silent          []unit.MachineID
+}
+
+func (h *hush) count(last, limit, late time.Duration, id unit.MachineID) {
+	h.machines++
+	if last > late {
+		h.quiet++
+	}
+	if last > limit {
+		h.silent = append(h.silent, id)
+	}
+}
+
 // silentLimit is how long a worker may be silent before its machine is taken
 // for dead. It spans two reports, of which each may come a quarter late, and the
 // question in between: at six seconds fixed, with reports every five, healthy
--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
 	"badgerbay/internal/statestore"
 )
 
@@ -102,3 +103,46 @@
 		t.Error("a silent machine was kept though the leader had been awake for long")
 	}
 }
+
+// TestThirdOfMachinesDies: machines that die together are returned, which
+// proves their tasks gone, long before their leases are over, although they are
+// many; not so the machines of a zone that falls silent as a whole.
+func TestThirdOfMachinesDies(t *testing.T) {
+	for what, dies := range map[string]func(int) bool{
+		"a third":    func(i int) bool { return i%3 == 0 },
+		"a zone":     func(i int) bool { return i%2 == 0 },
+		"everything": func(int) bool { return true },
+	} {
+		g := newGrown(t, 100)
+		g.fill(100)
+		g.dead = map[int]bool{}
+		var busy []*fleet.Machine
+		for i, r := range g.machines {
+			g.dead[i] = dies(i)
+			if m := g.core.term.fleet.Machine(r.Machine); g.dead[i] && m.Busy() && !m.Releasing {
+				busy = append(busy, m)
+			}
+		}
+		// One of them would have reported a quarter late, so it is the first to
+		// have been silent for too long.
+		oldest := busy[0]
+		for _, m := range busy {
+			if m.LastReport < oldest.LastReport {
+				oldest = m
+			}
+		}
+		oldest.LastReport = oldest.LastReport.Add(-1250 * time.Millisecond)
+		for range 13 {
+			g.pass(time.Second)
+		}
+		gone := 0
+		for _, m := range busy {
+			if m.Releasing {
+				gone++
+			}
+		}
+		if want := map[bool]int{true: len(busy)}[what == "a third"]; gone != want || len(busy) < 7 {
+			t.Errorf("%s: %d of %d dead machines with tasks were returned in 13 s, want %d", what, gone, len(busy), want)
+		}
+	}
+}
--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -26,6 +26,8 @@
 	now      unit.Instant
 	version  unit.Version
 	machines []*fleet.Report
+	turn     int
+	dead     map[int]bool // machines that neither report nor answer
 }
 
 func (g *grown) Now() unit.Instant { return g.now }
@@ -90,6 +92,9 @@
 func (g *grown) do(e Do) DoDone {
 	var i int
 	fmt.Sscanf(string(e.Machine), "host-%d", &i)
+	if g.dead[i] {
+		return DoDone{Machine: e.Machine, Epoch: e.Epoch}
+	}
 	r := g.machines[i]
 	next := *r
 	next.Tally++
@@ -104,6 +109,9 @@
 }
 
 func (g *grown) report(i int) {
+	if g.dead[i] {
+		return
+	}
 	r := *g.machines[i]
 	r.Tally++
 	g.machines[i] = &r
@@ -141,14 +149,15 @@
 
 // pass lets time go by: ticks, and the reports of the machines whose turn it is.
 func (g *grown) pass(d time.Duration) {
-	const ticks = 20
+	const ticks, interval = 20, 5 // each machine reports every fifth time
 	for k := range ticks {
 		g.now = g.now.Add(d / ticks)
 		g.step(Tick{})
-		for i := k; i < len(g.machines); i += 5 * ticks {
+		for i := (g.turn%interval)*ticks + k; i < len(g.machines); i += interval * ticks {
 			g.report(i)
 		}
 	}
+	g.turn++
 }
 
 func encodeRecord(r *checkpoint.Record) ([]byte, error) { return msgpack.Marshal(r) }
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -227,6 +227,7 @@
 			}
 		}
 		s.step(n, Isolated{From: from})
+		s.step(n, MeshCut{On: reached < len(s.nodes)-1})
 	}
 }
 
