--- /dev/null
+++ b/internal/controller/folds.go
@@ -0,0 +1,137 @@
+package controller
+
+import (
+	"strings"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// foldFlight is a fold that is being written.
+type foldFlight struct{ jobs []foldedJob }
+
+type foldedJob struct {
+	job   *checkpoint.Job
+	seq   uint64
+	round unit.RoundNo
+	phase checkpoint.Phase
+}
+
+// maxTxn keeps a transaction below the state service's limit of 64 KiB.
+const maxTxn = 40 << 10
+
+// maxUrgent bounds the checkpoints of one fold, so that those who wait for
+// changes have their turn in between. In a flood the folds of the jobs just
+// placed took three changes of four, and 440 users needed 50 s to get in.
+const maxUrgent = 4
+
+// maybeFold writes the checkpoints that somebody waits for, then those that
+// have lagged longest, as far as the folds' share of the write rate goes.
+func (t *term) maybeFold(now unit.Instant) {
+	if t.fold != nil || t.c.lead.Sealing() || now.Before(t.retryFold) {
+		return
+	}
+	urgent, late := t.foldable(now)
+	use := statestore.UseFold
+	batch := late
+	if len(urgent) > 0 {
+		use, batch = statestore.UseUrgentFold, urgent
+	}
+	n := min(len(batch), t.c.budget.WritesFor(now, use), t.c.set.Params.State.TxnOps, maxUrgent)
+	if n <= 0 {
+		return
+	}
+	f := &foldFlight{}
+	txn := statestore.Txn{Guards: []statestore.Guard{t.leaderGuard()}}
+	size := 0
+	for _, j := range batch[:n] {
+		rec, err := j.Record(t.epoch).Encode()
+		if err != nil {
+			t.c.log.Error("checkpoint can't be written", "job", j.ID, "err", err, "epoch", t.epoch)
+			continue
+		}
+		size += statestore.JSONSize(rec)
+		if size > maxTxn && len(f.jobs) > 0 {
+			break
+		}
+		key := checkpoint.Key(j.ID)
+		txn.Guards = append(txn.Guards, statestore.Guard{Key: key, Stamp: j.Version})
+		txn.Writes = append(txn.Writes, statestore.Write{Set: key, Value: rec})
+		f.jobs = append(f.jobs, foldedJob{j, j.Seq, rec.Round, rec.Phase})
+		j.Writing = true
+	}
+	if len(f.jobs) == 0 {
+		return
+	}
+	t.c.budget.TakeWrites(now, use, len(f.jobs))
+	t.fold = f
+	t.c.emit(Commit{Kind: CommitFold, Epoch: t.epoch, Txn: txn})
+}
+
+// foldable lists the jobs whose record may be written now: those that a user
+// or the ring waits for, and those that have lagged long enough.
+func (t *term) foldable(now unit.Instant) (urgent, late []*checkpoint.Job) {
+	pressed := map[unit.JobID]bool{}
+	if t.ring.Free() <= t.c.pol.RingSlots/3 {
+		for _, id := range t.ring.Oldest() {
+			pressed[id] = true
+		}
+	}
+	for _, j := range t.jobs {
+		if !j.Dirty() || j.Writing || t.flight != nil && t.flight.jobs[j.ID] {
+			continue
+		}
+		if j.Urgent() || pressed[j.ID] || len(t.waiting[j.ID]) > 0 {
+			urgent = append(urgent, j)
+		} else if now.Sub(j.DirtySince) >= t.c.pol.FoldAge {
+			late = append(late, j)
+		}
+	}
+	sortByAge(urgent)
+	sortByAge(late)
+	return urgent, late
+}
+
+func (t *term) foldCommitted(now unit.Instant, in Committed) {
+	f := t.fold
+	if f == nil {
+		return
+	}
+	t.fold = nil
+	for _, fj := range f.jobs {
+		fj.job.Writing = false
+	}
+	if in.Outcome != leadership.OK {
+		t.foldFailed(now, in)
+		return
+	}
+	t.c.met.Folds.Inc()
+	for _, fj := range f.jobs {
+		j := fj.job
+		j.Version, j.Stored, j.StoredRound, j.StoredPhase = in.Version, fj.seq, fj.round, fj.phase
+		if j.Dirty() {
+			j.DirtySince = now
+		}
+		t.ring.Folded(j.ID, fj.round)
+		if fj.phase.Final() {
+			t.c.log.Info("job over", "job", j.ID, "phase", fj.phase, "epoch", t.epoch)
+			t.answerWaiters(j.ID, intake.Known, t.c.lead.EntitledUntil())
+		}
+	}
+}
+
+func (t *term) foldFailed(now unit.Instant, in Committed) {
+	t.retryFold = now.Add(200 * time.Millisecond)
+	for _, key := range in.Failed {
+		t.c.met.CASConflicts.Inc()
+		id := unit.JobID(strings.TrimPrefix(key, checkpoint.KeyPrefix))
+		if t.jobs[id] != nil && !t.reading[id] {
+			t.reading[id] = true
+			t.c.emit(ReadJob{Job: id})
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/health.go
@@ -0,0 +1,148 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/mesh"
+	"badgerbay/internal/mesh/meshpb"
+	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
+)
+
+// meshRest is how long a peer that did not answer is not tried again by what
+// has another way.
+const meshRest = 2 * time.Second
+
+// meshWorks tells whether the peer may be tried over the mesh.
+func (n *Node) meshWorks(peer string) bool {
+	failed, ok := n.meshFailed.Load(peer)
+	return !ok || n.clock.Now().Sub(failed.(unit.Instant)) > meshRest
+}
+
+func (n *Node) noteMesh(peer string, err error) {
+	if err == nil {
+		n.meshFailed.Delete(peer)
+	} else {
+		n.meshFailed.Store(peer, n.clock.Now())
+	}
+}
+
+// watchHealth finds out which nodes the mesh reaches and, while the state
+// service does not answer this node, whether the others reach it, and who
+// leads.
+func (n *Node) watchHealth(ctx context.Context) {
+	cut, from := false, vouch.Connected
+	for n.pause(ctx, healthEvery) {
+		reached := n.askPeers(ctx)
+		if now := len(reached) < len(n.peers.Names()); now != cut {
+			cut = now
+			n.post(ctx, MeshCut{On: cut})
+		}
+		if now := n.isolation(reached); now != from {
+			from = now
+			n.log.Info("cut off", "from", from, "peers_reached", len(reached))
+			n.post(ctx, Isolated{From: from})
+		}
+		if n.stateReachable(stateQuiet) {
+			n.health.alone.Store(false)
+			n.health.hint.Store("")
+			continue
+		}
+		// Whoever reaches nobody at all is cut off from everything.
+		alone, hint := len(reached) == 0 && len(n.peers.Names()) > 0, ""
+		for _, h := range reached {
+			if h.StateReached {
+				alone, hint = true, h.Leader
+			}
+		}
+		n.health.alone.Store(alone)
+		n.health.hint.Store(hint)
+	}
+}
+
+// isolation tells what this node is cut off from, by what the others say.
+func (n *Node) isolation(reached []*meshpb.HealthReply) vouch.Isolation {
+	if n.stateReachable(stateQuiet) {
+		return vouch.Connected
+	}
+	for _, h := range reached {
+		if h.StateReached {
+			return vouch.Alone
+		}
+	}
+	if len(reached) < len(n.peers.Names()) {
+		return vouch.Alone
+	}
+	return vouch.Outage
+}
+
+// askVouch asks a peer for a grant, and for what it has done by its own.
+func (n *Node) askVouch(ctx context.Context, name string) error {
+	sent := n.clock.Now()
+	data, err := msgpack.Marshal(mesh.Batch{Node: n.set.Label, Vouch: true})
+	if err != nil {
+		return fmt.Errorf("asking for a grant: %w", err)
+	}
+	reply, err := n.peers.Relay(ctx, name, data)
+	if err != nil {
+		return fmt.Errorf("asking for a grant: %w", err)
+	}
+	a, err := mesh.DecodeAnswers(reply)
+	switch {
+	case err != nil:
+		return fmt.Errorf("grant of %s can't be read: %w", name, err)
+	case a.Vouch == nil:
+		return fmt.Errorf("%s did not say", name)
+	}
+	said, err := a.Vouch.Unpack()
+	if err != nil {
+		return err
+	}
+	n.post(ctx, PeerSaid{Node: name, Sent: sent, Said: said})
+	return nil
+}
+
+// sayVouch answers a peer that asks, or not at all if the core is overloaded.
+func (n *Node) sayVouch(ctx context.Context, node string) *mesh.Vouch {
+	ticket := make(chan ReplyPeer, 1)
+	if !n.offer(PeerAsked{Ticket: ticket, Node: node}) {
+		return nil
+	}
+	select {
+	case r := <-ticket:
+		return mesh.PackVouch(r.Said)
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// askPeers asks the others, all at once, what they can reach, and notes which
+// of them the mesh reaches.
+func (n *Node) askPeers(ctx context.Context) []*meshpb.HealthReply {
+	names := n.peers.Names()
+	replies := make(chan *meshpb.HealthReply, len(names))
+	for _, name := range names {
+		go func() {
+			h, err := n.peers.Health(ctx, name)
+			n.noteMesh(name, err)
+			replies <- h
+			if err != nil {
+				return
+			}
+			if err := n.askVouch(ctx, name); err != nil {
+				n.log.Debug("no grant", "peer", name, "err", err)
+			}
+		}()
+	}
+	var out []*meshpb.HealthReply
+	for range names {
+		if h := <-replies; h != nil {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controller/meshserver.go
@@ -0,0 +1,73 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/intake"
+	"badgerbay/internal/mesh"
+	"badgerbay/internal/mesh/meshpb"
+	"badgerbay/internal/unit"
+)
+
+// meshServer answers the other nodes.
+type meshServer struct {
+	meshpb.UnimplementedMeshServer
+	n *Node
+}
+
+// Ask answers a poll or a withdrawal that another node forwards.
+func (s *meshServer) Ask(ctx context.Context, r *meshpb.AskRequest) (*meshpb.AskReply, error) {
+	id, err := unit.ParseJobID(r.Job)
+	if err != nil || s.n.view.Load().epoch == 0 {
+		return &meshpb.AskReply{Outcome: meshpb.Outcome_OUTCOME_NOT_LEADER}, nil
+	}
+	t := s.n.askCore(ctx, id, r.Withdraw)
+	outcome := map[intake.Outcome]meshpb.Outcome{
+		intake.Known: meshpb.Outcome_OUTCOME_KNOWN, intake.Absent: meshpb.Outcome_OUTCOME_ABSENT,
+		intake.Busy: meshpb.Outcome_OUTCOME_BUSY, intake.NoLeader: meshpb.Outcome_OUTCOME_NOT_LEADER}[t.Outcome]
+	return &meshpb.AskReply{Outcome: outcome, Standing: string(t.Status.Standing),
+		Done: uint32(t.Status.Done), Running: uint32(t.Status.Running)}, nil
+}
+
+// Relay lets the core answer the reports of workers that can't reach this node.
+func (s *meshServer) Relay(ctx context.Context, r *meshpb.RelayRequest) (*meshpb.RelayReply, error) {
+	b, err := mesh.DecodeBatch(r.Batch)
+	if err != nil {
+		s.n.met.BadBatches.Inc()
+		return nil, err
+	}
+	answers := &mesh.Answers{ID: b.ID}
+	if b.Vouch {
+		answers.Vouch = s.n.sayVouch(ctx, b.Node)
+	} else {
+		answers = s.n.serveBatch(ctx, b)
+	}
+	data, err := msgpack.Marshal(answers)
+	return &meshpb.RelayReply{Answers: data}, err
+}
+
+// Health tells what this node can reach.
+func (s *meshServer) Health(context.Context, *meshpb.HealthRequest) (*meshpb.HealthReply, error) {
+	return &meshpb.HealthReply{StateReached: s.n.stateReachable(stateQuiet), Leader: s.n.view.Load().leader}, nil
+}
+
+// Notice takes in that a job was stored.
+func (s *meshServer) Notice(_ context.Context, r *meshpb.NoticeRequest) (*meshpb.NoticeReply, error) {
+	id, err := unit.ParseJobID(r.Job)
+	if err != nil || s.n.view.Load().epoch == 0 {
+		return &meshpb.NoticeReply{}, nil
+	}
+	return &meshpb.NoticeReply{Taken: s.n.offer(Noticed{Job: id})}, nil
+}
+
+// Accept stores a submission for a node that can't.
+func (s *meshServer) Accept(ctx context.Context, r *meshpb.AcceptRequest) (*meshpb.AcceptReply, error) {
+	if len(r.Submission) > intake.MaxBody {
+		return &meshpb.AcceptReply{Status: http.StatusBadRequest}, nil
+	}
+	_, ans := s.n.runSubmit(ctx, r.Submission, false)
+	return &meshpb.AcceptReply{Status: uint32(ans.Code), Body: []byte(ans.Status.Standing)}, nil
+}
--- /dev/null
+++ b/internal/controller/returns.go
@@ -0,0 +1,153 @@
+package controller
+
+import (
+	"time"
+
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/round"
+	"badgerbay/internal/unit"
+)
+
+// coming lists the machines that are rented, or being rented, and not up.
+func (t *term) coming(now unit.Instant) []round.Coming {
+	var out []round.Coming
+	for _, m := range t.fleet.Machines() {
+		if m.Type != "" && m.Shift == 0 && !m.Releasing && !m.Failed && !t.late(now, m) {
+			out = append(out, round.Coming{Offer: rental.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}})
+		}
+	}
+	for _, h := range t.desk.Pending() {
+		for range h.Count {
+			out = append(out, round.Coming{Offer: h.Offer})
+		}
+	}
+	return out
+}
+
+func (t *term) bootLimit(m *fleet.Machine) time.Duration {
+	limit := t.c.pol.BootFloor
+	if typ := t.fleet.Type(m.Type); typ != nil {
+		limit = max(limit, time.Duration(t.c.pol.BootFactor*float64(typ.Boot)))
+	}
+	return limit
+}
+
+// late tells whether a machine should have come up by now. It may yet, but
+// work does not wait for it any longer: others are rented for it. Guards
+// against an incident in which services waited 80 s for machines that never
+// came.
+func (t *term) late(now unit.Instant, m *fleet.Machine) bool {
+	typ := t.fleet.Type(m.Type)
+	return typ != nil && now.Sub(m.Born) > time.Duration(t.c.pol.BootLate*float64(typ.Boot))+lateMargin
+}
+
+// lateMargin is added to the time to boot for the first report.
+const lateMargin = 2 * time.Second
+
+// overdue tells whether a machine has taken so long to boot that it is not
+// counted on any more.
+func (t *term) overdue(now unit.Instant, m *fleet.Machine) bool {
+	return m.Shift == 0 && now.Sub(m.Born) > t.bootLimit(m)
+}
+
+// releasable lists the machines to return in this round, as many as fit room
+// bytes of its record.
+func (t *term) releasable(now unit.Instant, keep map[unit.MachineID]bool, room int) []unit.MachineID {
+	var out []unit.MachineID
+	silent := t.silent(now)
+	for _, m := range t.fleet.Machines() {
+		if m.Releasing || len(out) == rental.MaxRelease {
+			continue
+		}
+		idle := !m.Busy() && (now.Sub(m.IdleSince) > t.idleLimit(m) && !keep[m.ID] || m.Drained || m.Vacating)
+		if m.Shift == 0 {
+			idle = t.overdue(now, m) && !t.c.dozy(now)
+		}
+		if !idle && !m.Failed && !silent[m.ID] {
+			continue
+		}
+		room -= len(m.ID) + 8
+		if room < 0 {
+			break
+		}
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+// idleLimit is how long a machine may be idle: as long as its like takes to
+// come up again, and some. Longer costs more than to rent it anew.
+func (t *term) idleLimit(m *fleet.Machine) time.Duration {
+	limit := t.c.pol.IdleReturn
+	if typ := t.fleet.Type(m.Type); typ != nil && typ.Boot > 0 {
+		limit = min(limit, max(t.c.pol.IdleLeast, time.Duration(t.c.pol.IdleBoots*float64(typ.Boot))))
+	}
+	return limit
+}
+
+// silent picks machines that have stopped reporting while others go on.
+// Returning one proves that its tasks are gone sooner than its lease does. Many
+// silent machines may be a cut, and are left alone unless they surely are none:
+// nobody else is falling silent any more, and most machines of the zone go on.
+func (t *term) silent(now unit.Instant) map[unit.MachineID]bool {
+	// While a node is out of reach, a machine may be cut off with it; and a
+	// leader that stood still itself does not know who went on.
+	if t.c.cut || t.c.dozy(now) {
+		return nil
+	}
+	zones := map[unit.Zone]*hush{}
+	var all hush
+	limit, interval := t.silentLimit(), t.c.set.Params.Workers.ReportInterval()
+	for _, m := range t.fleet.Machines() {
+		if !m.Up && !m.Busy() || m.Releasing || m.Failed {
+			continue
+		}
+		z := zones[m.Zone]
+		if z == nil {
+			z = &hush{}
+			zones[m.Zone] = z
+		}
+		last := now.Sub(max(m.LastReport, t.acquired))
+		z.count(last, limit, interval*3/2, m.ID)
+		all.count(last, limit, interval*3/2, m.ID)
+	}
+	// Those that miss their first report count too: in a cut the machines fall
+	// silent one after the other, and the first must not be returned alone.
+	few := all.quiet <= max(1, all.machines/10)
+	silent := map[unit.MachineID]bool{}
+	for _, z := range zones {
+		settled := all.quiet == len(all.silent) && z.quiet <= z.machines/2
+		if all.machines < 3 || !few && !settled {
+			continue
+		}
+		for _, id := range z.silent {
+			silent[id] = true
+		}
+	}
+	return silent
+}
+
+// hush counts the machines that are heard, and those that are not.
+type hush struct {
+	machines, quiet int
+	silent          []unit.MachineID
+}
+
+func (h *hush) count(last, limit, late time.Duration, id unit.MachineID) {
+	h.machines++
+	if last > late {
+		h.quiet++
+	}
+	if last > limit {
+		h.silent = append(h.silent, id)
+	}
+}
+
+// silentLimit is how long a worker may be silent before its machine is taken
+// for dead. It spans two reports, of which each may come a quarter late, and the
+// question in between: at six seconds fixed, with reports every five, healthy
+// machines were returned by the hundred with all that ran on them.
+func (t *term) silentLimit() time.Duration {
+	return max(t.c.pol.SilentAfter, 2*t.c.set.Params.Workers.ReportInterval())
+}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -3,12 +3,9 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"badgerbay/internal/checkpoint"
-	"badgerbay/internal/fleet"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/round"
@@ -24,16 +21,6 @@
 	jobs    map[unit.JobID]bool
 }
 
-// foldFlight is a fold that is being written.
-type foldFlight struct{ jobs []foldedJob }
-
-type foldedJob struct {
-	job   *checkpoint.Job
-	seq   uint64
-	round unit.RoundNo
-	phase checkpoint.Phase
-}
-
 // proposed tells whether a placement belongs to the round under way: its
 // launch has not left, and won't before the record is stored.
 func (t *term) proposed(p *checkpoint.Placement) bool {
@@ -244,83 +231,6 @@
 	return w
 }
 
-// coming lists the machines that are rented, or being rented, and not up.
-func (t *term) coming(now unit.Instant) []round.Coming {
-	var out []round.Coming
-	for _, m := range t.fleet.Machines() {
-		if m.Type != "" && m.Shift == 0 && !m.Releasing && !m.Failed && !t.late(now, m) {
-			out = append(out, round.Coming{Offer: rental.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}})
-		}
-	}
-	for _, h := range t.desk.Pending() {
-		for range h.Count {
-			out = append(out, round.Coming{Offer: h.Offer})
-		}
-	}
-	return out
-}
-
-func (t *term) bootLimit(m *fleet.Machine) time.Duration {
-	limit := t.c.pol.BootFloor
-	if typ := t.fleet.Type(m.Type); typ != nil {
-		limit = max(limit, time.Duration(t.c.pol.BootFactor*float64(typ.Boot)))
-	}
-	return limit
-}
-
-// late tells whether a machine should have come up by now. It may yet, but
-// work does not wait for it any longer: others are rented for it. Guards
-// against an incident in which services waited 80 s for machines that never
-// came.
-func (t *term) late(now unit.Instant, m *fleet.Machine) bool {
-	typ := t.fleet.Type(m.Type)
-	return typ != nil && now.Sub(m.Born) > time.Duration(t.c.pol.BootLate*float64(typ.Boot))+lateMargin
-}
-
-// lateMargin is added to the time to boot for the first report.
-const lateMargin = 2 * time.Second
-
-// overdue tells whether a machine has taken so long to boot that it is not
-// counted on any more.
-func (t *term) overdue(now unit.Instant, m *fleet.Machine) bool {
-	return m.Shift == 0 && now.Sub(m.Born) > t.bootLimit(m)
-}
-
-// releasable lists the machines to return in this round, as many as fit room
-// bytes of its record.
-func (t *term) releasable(now unit.Instant, keep map[unit.MachineID]bool, room int) []unit.MachineID {
-	var out []unit.MachineID
-	silent := t.silent(now)
-	for _, m := range t.fleet.Machines() {
-		if m.Releasing || len(out) == rental.MaxRelease {
-			continue
-		}
-		idle := !m.Busy() && (now.Sub(m.IdleSince) > t.idleLimit(m) && !keep[m.ID] || m.Drained || m.Vacating)
-		if m.Shift == 0 {
-			idle = t.overdue(now, m) && !t.c.dozy(now)
-		}
-		if !idle && !m.Failed && !silent[m.ID] {
-			continue
-		}
-		room -= len(m.ID) + 8
-		if room < 0 {
-			break
-		}
-		out = append(out, m.ID)
-	}
-	return out
-}
-
-// idleLimit is how long a machine may be idle: as long as its like takes to
-// come up again, and some. Longer costs more than to rent it anew.
-func (t *term) idleLimit(m *fleet.Machine) time.Duration {
-	limit := t.c.pol.IdleReturn
-	if typ := t.fleet.Type(m.Type); typ != nil && typ.Boot > 0 {
-		limit = min(limit, max(t.c.pol.IdleLeast, time.Duration(t.c.pol.IdleBoots*float64(typ.Boot))))
-	}
-	return limit
-}
-
 // spares are the specs of the classes that must start faster than machines
 // come up, as last seen.
 func (t *term) spares() []*checkpoint.Spec {
@@ -342,187 +252,6 @@
 	return out
 }
 
-// silent picks machines that have stopped reporting while others go on.
-// Returning one proves that its tasks are gone sooner than its lease does. Many
-// silent machines may be a cut, and are left alone unless they surely are none:
-// nobody else is falling silent any more, and most machines of the zone go on.
-func (t *term) silent(now unit.Instant) map[unit.MachineID]bool {
-	// While a node is out of reach, a machine may be cut off with it; and a
-	// leader that stood still itself does not know who went on.
-	if t.c.cut || t.c.dozy(now) {
-		return nil
-	}
-	zones := map[unit.Zone]*hush{}
-	var all hush
-	limit, interval := t.silentLimit(), t.c.set.Params.Workers.ReportInterval()
-	for _, m := range t.fleet.Machines() {
-		if !m.Up && !m.Busy() || m.Releasing || m.Failed {
-			continue
-		}
-		z := zones[m.Zone]
-		if z == nil {
-			z = &hush{}
-			zones[m.Zone] = z
-		}
-		last := now.Sub(max(m.LastReport, t.acquired))
-		z.count(last, limit, interval*3/2, m.ID)
-		all.count(last, limit, interval*3/2, m.ID)
-	}
-	// Those that miss their first report count too: in a cut the machines fall
-	// silent one after the other, and the first must not be returned alone.
-	few := all.quiet <= max(1, all.machines/10)
-	silent := map[unit.MachineID]bool{}
-	for _, z := range zones {
-		settled := all.quiet == len(all.silent) && z.quiet <= z.machines/2
-		if all.machines < 3 || !few && !settled {
-			continue
-		}
-		for _, id := range z.silent {
-			silent[id] = true
-		}
-	}
-	return silent
-}
-
-// hush counts the machines that are heard, and those that are not.
-type hush struct {
-	machines, quiet int
-	silent          []unit.MachineID
-}
-
-func (h *hush) count(last, limit, late time.Duration, id unit.MachineID) {
-	h.machines++
-	if last > late {
-		h.quiet++
-	}
-	if last > limit {
-		h.silent = append(h.silent, id)
-	}
-}
-
-// silentLimit is how long a worker may be silent before its machine is taken
-// for dead. It spans two reports, of which each may come a quarter late, and the
-// question in between: at six seconds fixed, with reports every five, healthy
-// machines were returned by the hundred with all that ran on them.
-func (t *term) silentLimit() time.Duration {
-	return max(t.c.pol.SilentAfter, 2*t.c.set.Params.Workers.ReportInterval())
-}
-
-// maxTxn keeps a transaction below the state service's limit of 64 KiB.
-const maxTxn = 40 << 10
-
-// maxUrgent bounds the checkpoints of one fold, so that those who wait for
-// changes have their turn in between. In a flood the folds of the jobs just
-// placed took three changes of four, and 440 users needed 50 s to get in.
-const maxUrgent = 4
-
-// maybeFold writes the checkpoints that somebody waits for, then those that
-// have lagged longest, as far as the folds' share of the write rate goes.
-func (t *term) maybeFold(now unit.Instant) {
-	if t.fold != nil || t.c.lead.Sealing() || now.Before(t.retryFold) {
-		return
-	}
-	urgent, late := t.foldable(now)
-	use := statestore.UseFold
-	batch := late
-	if len(urgent) > 0 {
-		use, batch = statestore.UseUrgentFold, urgent
-	}
-	n := min(len(batch), t.c.budget.WritesFor(now, use), t.c.set.Params.State.TxnOps, maxUrgent)
-	if n <= 0 {
-		return
-	}
-	f := &foldFlight{}
-	txn := statestore.Txn{Guards: []statestore.Guard{t.leaderGuard()}}
-	size := 0
-	for _, j := range batch[:n] {
-		rec, err := j.Record(t.epoch).Encode()
-		if err != nil {
-			t.c.log.Error("checkpoint can't be written", "job", j.ID, "err", err, "epoch", t.epoch)
-			continue
-		}
-		size += statestore.JSONSize(rec)
-		if size > maxTxn && len(f.jobs) > 0 {
-			break
-		}
-		key := checkpoint.Key(j.ID)
-		txn.Guards = append(txn.Guards, statestore.Guard{Key: key, Stamp: j.Version})
-		txn.Writes = append(txn.Writes, statestore.Write{Set: key, Value: rec})
-		f.jobs = append(f.jobs, foldedJob{j, j.Seq, rec.Round, rec.Phase})
-		j.Writing = true
-	}
-	if len(f.jobs) == 0 {
-		return
-	}
-	t.c.budget.TakeWrites(now, use, len(f.jobs))
-	t.fold = f
-	t.c.emit(Commit{Kind: CommitFold, Epoch: t.epoch, Txn: txn})
-}
-
-// foldable lists the jobs whose record may be written now: those that a user
-// or the ring waits for, and those that have lagged long enough.
-func (t *term) foldable(now unit.Instant) (urgent, late []*checkpoint.Job) {
-	pressed := map[unit.JobID]bool{}
-	if t.ring.Free() <= t.c.pol.RingSlots/3 {
-		for _, id := range t.ring.Oldest() {
-			pressed[id] = true
-		}
-	}
-	for _, j := range t.jobs {
-		if !j.Dirty() || j.Writing || t.flight != nil && t.flight.jobs[j.ID] {
-			continue
-		}
-		if j.Urgent() || pressed[j.ID] || len(t.waiting[j.ID]) > 0 {
-			urgent = append(urgent, j)
-		} else if now.Sub(j.DirtySince) >= t.c.pol.FoldAge {
-			late = append(late, j)
-		}
-	}
-	sortByAge(urgent)
-	sortByAge(late)
-	return urgent, late
-}
-
-func (t *term) foldCommitted(now unit.Instant, in Committed) {
-	f := t.fold
-	if f == nil {
-		return
-	}
-	t.fold = nil
-	for _, fj := range f.jobs {
-		fj.job.Writing = false
-	}
-	if in.Outcome != leadership.OK {
-		t.foldFailed(now, in)
-		return
-	}
-	t.c.met.Folds.Inc()
-	for _, fj := range f.jobs {
-		j := fj.job
-		j.Version, j.Stored, j.StoredRound, j.StoredPhase = in.Version, fj.seq, fj.round, fj.phase
-		if j.Dirty() {
-			j.DirtySince = now
-		}
-		t.ring.Folded(j.ID, fj.round)
-		if fj.phase.Final() {
-			t.c.log.Info("job over", "job", j.ID, "phase", fj.phase, "epoch", t.epoch)
-			t.answerWaiters(j.ID, intake.Known, t.c.lead.EntitledUntil())
-		}
-	}
-}
-
-func (t *term) foldFailed(now unit.Instant, in Committed) {
-	t.retryFold = now.Add(200 * time.Millisecond)
-	for _, key := range in.Failed {
-		t.c.met.CASConflicts.Inc()
-		id := unit.JobID(strings.TrimPrefix(key, checkpoint.KeyPrefix))
-		if t.jobs[id] != nil && !t.reading[id] {
-			t.reading[id] = true
-			t.c.emit(ReadJob{Job: id})
-		}
-	}
-}
-
 // maybeSeal raises the seal when exits wait to be reaped, or when a withdrawn
 // launch has not been seen: under a higher seal no late copy can start.
 func (t *term) maybeSeal(now unit.Instant) {
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -552,7 +552,7 @@
 
 // probe sends commands to machines that have missed a report.
 func (t *term) probe(now unit.Instant) {
-	for _, m := range append(t.fleet.Probes(now), t.fleet.Strangers(now)...) {
+	for _, m := range t.fleet.Probes(now) {
 		t.c.emit(Do{Machine: m.ID, Addr: m.Addr, Epoch: t.epoch, Shift: m.Shift, Orders: t.fleet.Orders(now, m, false)})
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -687,12 +687,17 @@
 	return byName(out)
 }
 
-// Probes returns the machines that have missed a report, and marks them as
-// being sent a command: an empty one, whose answer shows that they live.
+// Probes returns the machines that have missed a report, and those that have
+// reported and that nothing vouches for, and marks them as being sent a command:
+// an empty one, whose answer shows that they live.
 func (f *Fleet) Probes(now unit.Instant) []*Machine {
 	var out []*Machine
 	for _, m := range f.Machines() {
-		if m.Up && !m.pushing && m.Addr != "" && now.Sub(m.LastReport) > f.times.Report*7/5 && now.Sub(m.probed) > f.times.Report/2 {
+		if !m.Up || m.pushing || m.Addr == "" {
+			continue
+		}
+		missed := now.Sub(m.LastReport) > f.times.Report*7/5 && now.Sub(m.probed) > f.times.Report/2
+		if missed || !m.Vouched && m.unheard < maxUnheard {
 			m.pushing, m.probed = true, now
 			out = append(out, m)
 		}
@@ -715,20 +720,6 @@
 	m.missed = now
 }
 
-// Strangers returns machines that have reported and that nothing vouches for,
-// and marks them as being sent a command: an empty one, which only a machine
-// that exists answers.
-func (f *Fleet) Strangers(now unit.Instant) []*Machine {
-	var out []*Machine
-	for _, m := range f.Machines() {
-		if m.Up && !m.Vouched && !m.pushing && m.Addr != "" && m.unheard < maxUnheard {
-			m.pushing, m.probed = true, now
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // Orders are the commands the machine is due: halts, launches and, in the
 // answer to a report, reaps. Repeating any of them is harmless: launches and
 // halts name an attempt, and an exit is reaped only when no copy of its launch
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -292,7 +292,7 @@
 	if r.f.Placeable(m) {
 		t.Fatal("a machine known by one old report may get tasks")
 	}
-	if got := r.f.Strangers(r.now); len(got) != 1 || got[0] != m || r.f.Strangers(r.now) != nil {
+	if got := r.f.Probes(r.now); len(got) != 1 || got[0] != m || r.f.Probes(r.now) != nil {
 		t.Fatalf("asked: %v, want the stranger once", got)
 	}
 	r.f.Pushed(r.now, m.ID, false)
--- /dev/null
+++ b/internal/round/patience.go
@@ -0,0 +1,232 @@
+package round
+
+import (
+	"math"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/rental"
+)
+
+// waited is how long the job has been there, in seconds.
+func (p *planner) waited(j *checkpoint.Job) float64 { return float64(p.w.WallMs-j.Accepted) / 1000 }
+
+func (p *planner) timeLeft(j *checkpoint.Job) (float64, bool) {
+	if j.Spec.DeadlineS <= 0 {
+		return 0, false
+	}
+	return j.Spec.DeadlineS - p.waited(j), true
+}
+
+const (
+	// urgentBelow, in seconds: work that can wait no longer than this beyond
+	// what a machine takes to come up is helped at any price.
+	urgentBelow = 20
+	// cheap: an offer is cheap if a task costs at most so many times what it
+	// costs on the cheapest kind.
+	cheap = 1.5
+	// unhurried is the patience, in seconds, of work that nothing is expected of.
+	unhurried = 150
+	// patient, in seconds: work with more patience than this does not use
+	// machines that only it would keep.
+	patient = 90
+	// hopeful: the part of its estimate that work may take if all goes well.
+	hopeful = 0.6
+	// runs: how much longer than its estimate work is expected to run.
+	runs = 1.3
+)
+
+// patience tells how many seconds the job can still wait for its tasks to
+// start and meet what is expected of it.
+func (p *planner) patience(j *checkpoint.Job) float64 {
+	if j.Spec.Service || j.Spec.Priority >= checkpoint.High {
+		return 0
+	}
+	waited := p.waited(j)
+	e := p.w.Expect[j.Spec.Class]
+	left := math.Inf(1)
+	if e.Start > 0 {
+		left = min(left, e.Start.Seconds()-waited)
+	}
+	if e.Finish > 0 {
+		left = min(left, e.Finish.Seconds()-waited-runs*j.Spec.EstimateS)
+	}
+	if j.Spec.DeadlineS > 0 {
+		left = min(left, j.Spec.DeadlineS-waited-runs*j.Spec.EstimateS)
+	}
+	switch {
+	case !math.IsInf(left, 1):
+	case j.Begun():
+		// Nobody waits for the rest of it.
+		return unhurried
+	default:
+		left = unhurried - waited
+	}
+	return max(0, left)
+}
+
+// runTime is how long a task of the job is expected to run, in seconds.
+func runTime(j *checkpoint.Job) float64 {
+	if j.Spec.EstimateS <= 0 {
+		return serviceHorizon
+	}
+	return runs * j.Spec.EstimateS
+}
+
+// countWork sums up, in CPU seconds, what is left of the arrays that run.
+func (p *planner) countWork() {
+	for _, j := range p.w.All {
+		if !j.Spec.Service {
+			p.work[j.Spec.Priority] += float64(len(j.Live)) * j.Spec.CPUs * runTime(j) / 2
+		}
+	}
+}
+
+// queueWork notes what goes before the end of the job: what runs of its
+// priority and above, what is queued before it, and the job itself.
+func (p *planner) queueWork(j *checkpoint.Job) {
+	if j.Spec.Service || p.ahead[j] > 0 {
+		return
+	}
+	p.work[j.Spec.Priority] += float64(j.Queue.Len()) * j.Spec.CPUs * runTime(j)
+	sum := 0.0
+	for _, w := range p.work[j.Spec.Priority:] {
+		sum += w
+	}
+	p.ahead[j] = sum
+}
+
+// drain is how long, in seconds, the machines that are up or coming take to get
+// through what goes before the job's last start. A machine rented for work that
+// will have found room by then comes too late to help: in bursts hundreds of
+// dear ones came when those they were rented for were done.
+func (p *planner) drain(j *checkpoint.Job) float64 {
+	cpus, ok := p.usable[shapeOf(&j.Spec)]
+	if !ok {
+		for _, b := range p.bins {
+			if j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+				cpus += b.typ.Capacity.CPUs - b.m.Load().ServiceCPUs
+			}
+		}
+		for _, b := range p.come {
+			if j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+				cpus += b.typ.Capacity.CPUs
+			}
+		}
+		p.usable[shapeOf(&j.Spec)] = cpus
+	}
+	if cpus <= 0 {
+		return math.Inf(1)
+	}
+	return p.ahead[j] / cpus
+}
+
+// worth tells whether a machine of the kind may be rented for the job: work
+// that can wait is only given cheap ones.
+func (p *planner) worth(j *checkpoint.Job, t *fleet.Type, spot bool) bool {
+	if p.isCheap(j, t, spot) {
+		return true
+	}
+	patience := p.patience(j)
+	if patience-p.soonest(j) >= urgentBelow {
+		return false
+	}
+	if j.Spec.Priority < checkpoint.High && !p.withinGuarantee(j) && p.drain(j) <= patience {
+		return false
+	}
+	start := startTime(j, t)
+	// What would be late on a new machine anyway is not helped by a dear one.
+	left, has := p.timeLeft(j)
+	return !has || j.Spec.Priority >= checkpoint.High || left >= start+hopeful*j.Spec.EstimateS
+}
+
+// isCheap tells whether a task of the job costs about the least on the kind.
+func (p *planner) isCheap(j *checkpoint.Job, t *fleet.Type, spot bool) bool {
+	return taskPrice(j, t, spot) <= cheap*p.cheapest(j)
+}
+
+// needsOnlyBegin tells whether nothing is expected of the job but that it
+// begins some time: one task on a dear machine does for that. Old jobs of the
+// lowest priority had hundreds of dear machines rented for all their tasks.
+func (p *planner) needsOnlyBegin(j *checkpoint.Job) bool {
+	return j.Spec.Priority < checkpoint.High && !j.Spec.Service && j.Spec.DeadlineS <= 0 &&
+		p.w.Expect[j.Spec.Class] == Expect{} && !j.Begun()
+}
+
+// unexpecting tells whether nothing is expected of the job's class: it has no
+// deadline and no objective.
+func (p *planner) unexpecting(j *checkpoint.Job) bool {
+	return !j.Spec.Service && j.Spec.DeadlineS <= 0 && p.w.Expect[j.Spec.Class] == Expect{}
+}
+
+// startTime is how long, in seconds, a new machine takes to run the job.
+func startTime(j *checkpoint.Job, t *fleet.Type) float64 {
+	start := t.Boot.Seconds()
+	if t.FetchGBps > 0 {
+		start += j.Spec.ImageGB / t.FetchGBps
+	}
+	return start
+}
+
+// soonest is how long the fastest new machine that may be had takes to run the
+// job. While that is soon enough, dear work waits for cheap room.
+func (p *planner) soonest(j *checkpoint.Job) float64 {
+	if s, ok := p.starts[j]; ok {
+		return s
+	}
+	best := math.Inf(1)
+	p.eachOffer(j, func(o rental.Offer, t *fleet.Type) {
+		if !p.w.Blocked(o) && t.Capacity.Fits(j.Spec.Need()) {
+			best = min(best, startTime(j, t))
+		}
+	})
+	p.starts[j] = best
+	return best
+}
+
+// mayUse tells whether the job may start on a machine that is up. Work that
+// can wait stays off dear machines, unless a service or a guarantee keeps them
+// anyway: it would keep them from being returned.
+func (p *planner) mayUse(j *checkpoint.Job, b *bin) bool {
+	if j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.guards {
+		return true
+	}
+	if p.patience(j) < patient && (p.first || !p.unexpecting(j)) {
+		return true
+	}
+	return b.m.Anchored() || p.isCheap(j, b.typ, b.spot)
+}
+
+// onlyOne tells whether the bin may take but one task of the job, and none if
+// the plan has started some already.
+func (p *planner) onlyOne(j *checkpoint.Job, b *bin) bool {
+	return p.needsOnlyBegin(j) && !p.guards && !b.m.Anchored() && !p.isCheap(j, b.typ, b.spot)
+}
+
+func taskPrice(j *checkpoint.Job, t *fleet.Type, spot bool) float64 {
+	per := fitCount(t.Capacity, j.Spec.Need())
+	if per == 0 {
+		return math.Inf(1)
+	}
+	return price(t, spot) / float64(per)
+}
+
+// price is what a machine of the type costs now, ordinary or spot.
+func price(t *fleet.Type, spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// cheapest is what a task of the job costs on the cheapest kind that it
+// allows. It is asked for every machine, so it is worked out once a plan.
+func (p *planner) cheapest(j *checkpoint.Job) float64 {
+	if c, ok := p.least[j]; ok {
+		return c
+	}
+	best := math.Inf(1)
+	p.eachOffer(j, func(o rental.Offer, t *fleet.Type) { best = min(best, taskPrice(j, t, o.Spot)) })
+	p.least[j] = best
+	return best
+}
--- /dev/null
+++ b/internal/round/vacate.go
@@ -0,0 +1,168 @@
+package round
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/unit"
+)
+
+// settled: a replica is moved only after so long, in seconds, since a start
+// that is soon undone is no start to its user.
+const settled = 40
+
+const (
+	// vacatePart: of the machines in use, one in so many is emptied at a time.
+	vacatePart = 20
+	// headroom is the part of the room for replicas that stays free, so that
+	// those that come next need not wait for machines just returned.
+	headroom = 0.1
+)
+
+// consolidate picks machines with few replicas that all fit on others which
+// hold their images. They are emptied, so that they can be returned: replicas
+// end one by one, and what is left would keep many machines for little. Tasks
+// of arrays on them run to their end.
+func (p *planner) consolidate(short []shortage) {
+	if !p.w.MayVacate || len(p.missing) > 0 || !p.patientOnly(short) {
+		return
+	}
+	var inUse, from []*bin
+	for _, b := range p.bins {
+		l := b.m.Load()
+		if l.Tasks > 0 {
+			inUse = append(inUse, b)
+		}
+		if l.Services > 0 && !b.started {
+			from = append(from, b)
+		}
+	}
+	slices.SortStableFunc(from, func(x, y *bin) int { return cmp.Compare(x.servicePart(), y.servicePart()) })
+	v := &vacation{p: p, free: map[*bin]checkpoint.Resources{}, moved: map[*checkpoint.Job]int{}}
+	for _, b := range inUse {
+		v.free[b] = b.free
+	}
+	limit := max(1, len(inUse)/vacatePart)
+	for i, b := range from {
+		if len(p.plan.Vacate) == limit || i == 2*limit {
+			return
+		}
+		if b.typ.Capacity.CPUs <= p.surplus {
+			v.empty(b)
+		}
+	}
+}
+
+// patientOnly tells whether all work that found no room can wait.
+func (p *planner) patientOnly(short []shortage) bool {
+	for _, s := range short {
+		if p.patience(s.job) < patient {
+			return false
+		}
+	}
+	return true
+}
+
+// servicePart is the part of the bin's machine that its replicas take, about.
+func (b *bin) servicePart() float64 {
+	return float64(b.m.Load().Services) / max(1, b.typ.Capacity.CPUs)
+}
+
+// vacation is the emptying of some machines in one plan.
+type vacation struct {
+	p     *planner
+	free  map[*bin]checkpoint.Resources // of the machines in use that stay
+	moved map[*checkpoint.Job]int
+}
+
+// empty stops the replicas of a machine if they fit on others in use, with the
+// room kept free still there after it.
+func (v *vacation) empty(b *bin) {
+	live := replicasOf(b)
+	if !v.p.movable(live) {
+		return
+	}
+	before := maps.Clone(v.free)
+	delete(v.free, b)
+	for _, r := range live {
+		if !v.fitOne(r.Job, b.zone) {
+			v.free = before
+			return
+		}
+	}
+	if !v.roomLeft(&live[0].Job.Spec) {
+		v.free = before
+		return
+	}
+	v.p.surplus -= b.typ.Capacity.CPUs
+	v.p.plan.Vacate = append(v.p.plan.Vacate, b.m.ID)
+	for _, r := range live {
+		v.moved[r.Job]++
+		v.p.plan.Stops = append(v.p.plan.Stops, Stop{Placement: r})
+	}
+}
+
+func replicasOf(b *bin) []*checkpoint.Placement {
+	var out []*checkpoint.Placement
+	for _, v := range b.running() {
+		if v.Job.Spec.Service {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (p *planner) movable(live []*checkpoint.Placement) bool {
+	for _, v := range live {
+		if v.State != checkpoint.Running || v.Halting || p.w.Now.Sub(v.Ran).Seconds() < settled {
+			return false
+		}
+	}
+	return true
+}
+
+// roomLeft tells whether the machines that stay keep the headroom for replicas
+// like these, and the room kept free for the classes that must start fast.
+func (v *vacation) roomLeft(spec *checkpoint.Spec) bool {
+	free, all := 0.0, 0.0
+	for b, room := range v.free {
+		if spec.Allows(b.typ.Name, b.zone, b.spot) {
+			free += room.CPUs
+			all += b.typ.Capacity.CPUs
+		}
+	}
+	if free < headroom*all {
+		return false
+	}
+	for _, s := range v.p.w.Spares {
+		left := 0
+		for b, room := range v.free {
+			if s.Allows(b.typ.Name, b.zone, b.spot) {
+				left += fitCount(room.Plus(v.p.below(s, b)), s.Need())
+			}
+		}
+		if left < v.p.w.Policy.SpareTasks {
+			return false
+		}
+	}
+	return true
+}
+
+// fitOne finds a place for a replica that leaves the zone. Of a job only one
+// replica is moved in a plan, so that its own place in the zone is free again.
+func (v *vacation) fitOne(j *checkpoint.Job, leaves unit.Zone) bool {
+	if v.moved[j] > 0 {
+		return false
+	}
+	for _, b := range v.p.bins {
+		room, ok := v.free[b]
+		if ok && room.Fits(j.Spec.Need()) && v.p.allowed(j, b) && b.m.HasImage(j.Spec.Image) &&
+			(b.zone == leaves || v.p.zoneRoom(j, b.zone) > 0) {
+			v.free[b] = room.Minus(j.Spec.Need())
+			return true
+		}
+	}
+	return false
+}
