--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -57,8 +57,12 @@
 // next tick. At 1,500 machines doing all of it for each report took 2 ms.
 func (c *Core) Step(now unit.Instant, in Input) []Effect {
 	c.out = nil
-	if now.Sub(c.stepped) > asleep {
+	if gap := now.Sub(c.stepped); gap > asleep {
 		c.woke = now
+		if c.stepped != 0 {
+			c.met.Stood.Inc()
+			c.log.Debug("stood still", "for", gap)
+		}
 	}
 	c.stepped = now
 	c.take(now, in)
--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"runtime"
+	"runtime/pprof"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"badgerbay/internal/door"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/mesh/meshpb"
 	"badgerbay/internal/unit"
@@ -120,6 +124,23 @@
 	}
 }
 
+// loadEvery is how often the load of the process is logged, at debug.
+const loadEvery = 5 * time.Second
+
+// watchLoad logs what the process holds of what its machine grants.
+func (n *Node) watchLoad(ctx context.Context, d *door.Door) {
+	for n.pause(ctx, loadEvery) {
+		if !n.log.Enabled(ctx, slog.LevelDebug) {
+			return
+		}
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		s := d.Stats()
+		n.log.Debug("load", "connections", s.Open, "workers", s.Workers, "users", s.Users, "evicted", s.Evicted, "refused", s.Refused,
+			"threads", pprof.Lookup("threadcreate").Count(), "goroutines", runtime.NumGoroutine(), "heap_mb", mem.HeapInuse>>20, "sys_mb", mem.Sys>>20)
+	}
+}
+
 // askPeers asks the others, all at once, what they can reach, and notes which
 // of them the mesh reaches.
 func (n *Node) askPeers(ctx context.Context) []*meshpb.HealthReply {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -23,6 +23,7 @@
 	Uncertain     prometheus.Counter
 	Relayed       prometheus.Counter
 	Kept          prometheus.Counter
+	Stood         prometheus.Counter
 	BadBatches    prometheus.Counter
 	Submissions   *prometheus.CounterVec
 	Reports       *prometheus.CounterVec
@@ -64,6 +65,7 @@
 	m.Throttled = counter("throttled_total", "Requests that the state service or the cloud throttled.")
 	m.Uncertain = counter("uncertain_operations_total", "Requests whose outcome had to be read back.")
 	m.BadBatches = counter("bad_batches_total", "Batches of other nodes, and answers to ours, that could not be read.")
+	m.Stood = counter("stood_still_total", "Times this node took no step for half a second or more.")
 	m.Kept = counter("kept_reports_total", "Reports answered by a grant while this node was cut off.")
 	m.Relayed = counter("relayed_reports_total", "Reports of cut-off workers answered through the state service.")
 	m.Submissions = vec("user_answers_total", "Answers to users by status.", "code")
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -145,6 +145,7 @@
 	go n.act(ctx)
 	go n.relayUp(ctx)
 	go n.watchHealth(ctx)
+	go n.watchLoad(ctx, entrance)
 	n.log.Info("serving", "node", n.set.Label, "zone", n.set.Location)
 	select {
 	case <-ctx.Done():
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -1277,6 +1278,123 @@
 	}
 }
 
+var fleetSeeds = flag.Int("fleetseeds", 1, "days of TestFleetDays, each with other luck")
+
+// grow gives the world about so many machines in the zones; nodes stand in the
+// first two.
+func (s *sim) grow(zones []unit.Zone, machines int) {
+	s.set.Params.Zones = zones
+	clear(s.cloud.Capacity)
+	for _, typ := range s.cloud.Types {
+		typ.Zones = zones
+		for _, z := range zones {
+			for _, spot := range []bool{false, true} {
+				s.cloud.Capacity[rental.Offer{Type: typ.Name, Zone: z, Spot: spot}] = machines / (2 * len(zones) * len(s.cloud.Types))
+			}
+		}
+	}
+	for _, n := range s.nodes {
+		s.crash(n, time.Millisecond)
+	}
+}
+
+// TestFleetDays draws days of up to 1,900 machines: zones with and without a
+// node, replicas, large arrays beside many small ones, and troubles of each kind
+// on top of each other: cut zones, nodes that stand still, crash one or all and
+// are back at once, lonely nodes, an outage, a third of the machines lost or
+// hung, late copies and repeats. All rules are checked at each change.
+func TestFleetDays(t *testing.T) {
+	for seed := range uint64(*fleetSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, 7000+seed)
+			s.loss, s.dup, s.late = 0.01, 0.02, 0.02
+			s.grow([]unit.Zone{"a", "b", "c", "d"}[:2+s.rng.IntN(3)], 1000+s.rng.IntN(900))
+			s.set.Params.Workers.ReportS = 5
+			s.set.Params.Teams = []config.Team{{Name: "red", CPUs: 1000, CPUsMax: 10_000}, {Name: "blue", CPUs: 1000, CPUsMax: 10_000}}
+			s.drawJobs(int(s.rng.Uint64N(20)))
+			s.every(9*time.Second, func() {
+				if s.loss > 0 {
+					s.trouble()
+				}
+			})
+			peak := 0
+			s.every(time.Second, func() { peak = max(peak, len(s.cloud.Machines)) })
+			s.run(150 * time.Second)
+			t.Logf("%d machines at most, in %d zones", peak, len(s.set.Params.Zones))
+			if peak < 500 {
+				t.Errorf("the day had only %d machines", peak)
+			}
+			s.finish()
+		})
+	}
+}
+
+// drawJobs submits replicas, large arrays and many small ones over a minute.
+func (s *sim) drawJobs(more int) {
+	replicas, large, small := spread, batch, together
+	replicas.Tasks, large.Tasks, large.CPUs = 4, 400, 4
+	for i := range 60 + more {
+		s.after(time.Duration(i)*time.Second, func() {
+			s.submit(10*i, replicas, 0)
+			s.submit(10*i+1, small, 8*time.Second)
+			if i%4 == 0 {
+				s.submit(10*i+2, large, time.Duration(20+s.rng.IntN(40))*time.Second)
+			}
+		})
+		if i%7 == 3 {
+			s.after(time.Duration(i+10+s.rng.IntN(60))*time.Second, func() {
+				s.withdraw(unit.JobID(fmt.Sprintf("wk-%06d", 10*i+s.rng.IntN(2))))
+			})
+		}
+	}
+}
+
+// trouble draws one trouble, which may come on top of others.
+func (s *sim) trouble() {
+	n := s.nodes[s.rng.IntN(3)]
+	if l := s.leader(); l != nil && s.rng.IntN(2) == 0 {
+		n = l
+	}
+	length := time.Duration(500<<s.rng.IntN(7)) * time.Millisecond
+	switch s.rng.IntN(7) {
+	case 0:
+		s.zoneCut = s.set.Params.Zones[s.rng.IntN(len(s.set.Params.Zones))]
+		s.after(length+10*time.Second, s.heal)
+	case 1:
+		s.frozen[n.index] = s.now.Add(length)
+	case 2:
+		for _, o := range s.nodes {
+			if o == n || s.rng.IntN(2) == 0 {
+				s.crash(o, time.Duration(20+s.rng.IntN(4000))*time.Millisecond)
+			}
+		}
+	case 3:
+		s.alone[n.index] = true
+		s.after(length, func() { delete(s.alone, n.index) })
+	case 4:
+		s.state.Down = true
+		s.after(length, func() { s.state.Down = false })
+	case 5:
+		s.lose(func(id unit.MachineID) {
+			if s.cloud.Machines[id].Worker != nil {
+				s.take(id)
+			}
+		})
+	case 6:
+		s.lose(func(id unit.MachineID) { s.hung[id] = s.now.Add(length) })
+	}
+}
+
+// lose draws a third of the machines.
+func (s *sim) lose(how func(unit.MachineID)) {
+	for _, id := range slices.Sorted(maps.Keys(s.cloud.Machines)) {
+		if s.rng.IntN(3) == 0 {
+			how(id)
+		}
+	}
+}
+
 // TestLargestBegin: the largest job of the lowest class begins within four
 // minutes, and keeps running for long enough to count, however many small ones
 // of a higher priority come all the time and take all there is.
