--- a/internal/controller/reach.go
+++ b/internal/controller/reach.go
@@ -43,6 +43,16 @@
 	r.last[id] = contact{now, via}
 }
 
+// relayed tells whether any worker's last report came through another node.
+func (r *reach) relayed() bool {
+	for _, c := range r.last {
+		if c.via != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // heir is the node that had better lead, or "": for some time nearly all known
 // workers have not come here themselves, and some come through that node. Many
 // that are not heard of at all count too: through the state service a node
--- a/internal/controller/returns.go
+++ b/internal/controller/returns.go
@@ -89,7 +89,8 @@
 // silent picks machines that have stopped reporting while others go on.
 // Returning one proves that its tasks are gone sooner than its lease does. Many
 // silent machines may be a cut, and are left alone unless they surely are none:
-// nobody else is falling silent any more, and most machines of the zone go on.
+// nobody else is falling silent any more, nobody is found again or comes through
+// another node, and most machines of the zone go on.
 func (t *term) silent(now unit.Instant) map[unit.MachineID]bool {
 	// While a node is out of reach, a machine may be cut off with it; and a
 	// leader that stood still itself does not know who went on.
@@ -100,7 +101,7 @@
 	var all hush
 	limit, interval := t.silentLimit(), t.c.set.Params.Workers.ReportInterval()
 	for _, m := range t.fleet.Machines() {
-		if !m.Up && !m.Busy() || m.Releasing || m.Failed {
+		if !m.Up {
 			continue
 		}
 		z := zones[m.Zone]
@@ -116,8 +117,9 @@
 	// silent one after the other, and the first must not be returned alone.
 	few := all.quiet <= max(1, all.machines/10)
 	silent := map[unit.MachineID]bool{}
+	found := t.reach.relayed() || now.Sub(t.found) < foundFor
 	for _, z := range zones {
-		settled := all.quiet == len(all.silent) && z.quiet <= z.machines/2
+		settled := !found && all.quiet == len(all.silent) && z.quiet <= z.machines/2
 		if all.machines < 3 || !few && !settled {
 			continue
 		}
@@ -128,6 +130,19 @@
 	return silent
 }
 
+// foundFor is how long it counts that a machine was heard again after it had been
+// silent for too long: others may be on their way too. As the workers of a leader
+// that they did not reach came back through other nodes, the half that was not
+// there yet was returned.
+const foundFor = 20 * time.Second
+
+// noteFound notes that a machine is heard that was silent for too long.
+func (t *term) noteFound(now unit.Instant, m *fleet.Machine) {
+	if m.Up && now.Sub(max(m.LastReport, t.acquired)) > t.silentLimit() {
+		t.found = now
+	}
+}
+
 // hush counts the machines that are heard, and those that are not.
 type hush struct {
 	machines, quiet int
--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -8,6 +8,7 @@
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
 )
 
 // TestLateMachinesAreNotWaitedFor guards against an incident: machines that
@@ -146,3 +147,38 @@
 		}
 	}
 }
+
+// TestMachinesFoundAgain: as machines that nobody heard come back one after the
+// other, at the end of a cut or by other ways, those that are not there yet are
+// not taken for dead. Half the fleet was returned with all that ran on it.
+func TestMachinesFoundAgain(t *testing.T) {
+	g := newGrown(t, 100)
+	g.fill(100)
+	g.dead = map[int]bool{}
+	for i := range g.machines {
+		g.dead[i] = true
+	}
+	before := len(g.releasing())
+	for range 12 {
+		g.pass(time.Second)
+	}
+	for i := range g.machines {
+		g.dead[i] = i%3 == 0
+	}
+	for range 8 {
+		g.pass(time.Second)
+	}
+	if n := len(g.releasing()) - before; n > 0 {
+		t.Errorf("%d machines were returned as others were found again", n)
+	}
+}
+
+func (g *grown) releasing() []unit.MachineID {
+	var out []unit.MachineID
+	for _, m := range g.core.term.fleet.Machines() {
+		if m.Releasing {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -54,6 +54,7 @@
 	nextStuck  unit.Instant
 	waiting    map[unit.JobID][]waiter
 	reach      reach
+	found      unit.Instant // when a machine that was silent for too long was last heard again
 	ledger     *vouch.Ledger
 	expect     map[unit.Class]round.Expect
 	lastWork   map[unit.Team]unit.Instant // when the team last had work
@@ -352,6 +353,7 @@
 		t.c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusServiceUnavailable})
 		return
 	}
+	t.noteFound(now, m)
 	// A report overtaken by the answer to a direct command is stale, and the
 	// worker still waits for its answer.
 	if changes := t.fleet.Take(now, in.Report, true); !changes.Stale {
@@ -370,6 +372,7 @@
 		t.c.leadStep(now, leadership.Deposed{})
 		return
 	}
+	t.noteFound(now, t.fleet.Machine(in.Machine))
 	changes := t.fleet.Take(now, in.Report, false)
 	if !changes.Stale {
 		t.changed(now, t.fleet.Machine(in.Machine), changes)
