--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -59,7 +59,8 @@
 	pace   *intake.Pace
 	asked  atomic.Uint32 // submissions that others were asked to store
 
-	kept       atomic.Bool // the machine types are stored
+	kept       atomic.Bool  // the machine types are stored
+	quietSince atomic.Int64 // see vouch.Keeper
 	relays     relayDesk
 	relayOut   chan relayItem
 	meshFailed sync.Map // peer to the Instant of its last failure
@@ -86,6 +87,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.core = NewCore(set, pol, clock, n.budget, rng, log, n.met)
 	n.view.Store(&view{})
+	n.quietSince.Store(int64(n.core.keeper.QuietSince()))
 	return n, nil
 }
 
@@ -205,6 +207,7 @@
 
 func (n *Node) step(ctx context.Context, in Input) {
 	effects := n.core.Step(n.clock.Now(), in)
+	n.quietSince.Store(int64(n.core.keeper.QuietSince()))
 	old := n.view.Load()
 	if v := (view{leader: n.core.Leader(), types: n.core.Types(), epoch: n.core.lead.Epoch()}); v.leader != old.leader || v.epoch != old.epoch || len(v.types) != len(old.types) {
 		n.view.Store(&v)
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -18,6 +18,7 @@
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
 	"badgerbay/internal/wire"
 )
 
@@ -147,7 +148,7 @@
 // service, one batch at a time.
 func (n *Node) relayUp(ctx context.Context) {
 	var queue []relayItem
-	seq := 0
+	seq, echo := 0, ""
 	nonce := strconv.FormatInt(time.Now().UnixNano(), 36)
 	for {
 		if len(queue) == 0 {
@@ -163,10 +164,10 @@
 		queue = n.drainRelay(queue)
 		seq++
 		id := nonce + "-" + strconv.Itoa(seq)
-		batch, sent, rest := n.batch(id, queue)
+		batch, sent, rest := n.batch(id, echo, queue)
 		queue = rest
-		if len(sent) > 0 {
-			n.exchange(ctx, id, batch, sent)
+		if len(sent) > 0 && n.exchange(ctx, id, batch, sent) {
+			echo = id
 		}
 		if left := relayEvery - n.clock.Now().Sub(begun); left > 0 && !n.pause(ctx, left) {
 			return
@@ -187,7 +188,7 @@
 
 // batch squeezes as much of the queue as one value holds, asks first, and drops
 // what has waited too long.
-func (n *Node) batch(id string, queue []relayItem) (value wire.Packed, sent, rest []relayItem) {
+func (n *Node) batch(id, echo string, queue []relayItem) (value wire.Packed, sent, rest []relayItem) {
 	now := n.clock.Now()
 	var waiting []relayItem
 	for _, item := range queue {
@@ -198,7 +199,7 @@
 	slices.SortStableFunc(waiting, func(a, b relayItem) int { return cmp.Compare(a.kind(), b.kind()) })
 	limit := n.set.Params.State.ValueBytes() - answerMargin
 	for count := len(waiting); count > 0; {
-		value, err := wire.Squeeze(n.batchOf(id, waiting[:count]))
+		value, err := wire.Squeeze(n.batchOf(id, echo, waiting[:count]))
 		switch {
 		case err != nil:
 			n.log.Error("batch can't be encoded", "err", err)
@@ -213,8 +214,9 @@
 	return "", nil, nil
 }
 
-func (n *Node) batchOf(id string, items []relayItem) *mesh.Batch {
-	b := &mesh.Batch{ID: id, Node: n.set.Label}
+func (n *Node) batchOf(id, echo string, items []relayItem) *mesh.Batch {
+	quiet := n.clock.Now().Sub(unit.Instant(n.quietSince.Load()))
+	b := &mesh.Batch{ID: id, Node: n.set.Label, Echo: echo, QuietMs: quiet.Milliseconds()}
 	for _, item := range items {
 		if item.report != nil {
 			b.Reports = append(b.Reports, mesh.Pack(item.report))
@@ -233,21 +235,22 @@
 	return 0
 }
 
-// exchange writes a batch and waits for the leader's answers to it.
-func (n *Node) exchange(ctx context.Context, id string, batch wire.Packed, sent []relayItem) {
+// exchange writes a batch and waits for the leader's answers to it; it tells
+// whether they came.
+func (n *Node) exchange(ctx context.Context, id string, batch wire.Packed, sent []relayItem) bool {
 	if !n.budget.TakeWrites(n.clock.Now(), statestore.UseSubmit, 1) {
-		return
+		return false
 	}
 	key := mesh.UpPrefix + n.set.Label
 	since, err := n.store.Commit(ctx, statestore.Txn{Writes: []statestore.Write{{Set: key, Value: batch}}})
 	if n.note(err) != nil {
-		return
+		return false
 	}
 	until := n.clock.Now().Add(relayWait)
 	for n.clock.Now().Before(until) && ctx.Err() == nil {
 		log, next, err := n.store.Watch(ctx, mesh.DownPrefix+n.set.Label, since, until.Sub(n.clock.Now()))
 		if n.note(err) != nil {
-			return
+			return false
 		}
 		since = max(since, next)
 		for _, c := range log {
@@ -258,10 +261,11 @@
 			}
 			if a.ID == id {
 				deliver(a, sent)
-				return
+				return true
 			}
 		}
 	}
+	return false
 }
 
 func deliver(a *mesh.Answers, sent []relayItem) {
@@ -305,6 +309,7 @@
 // relayDown serves the batches of cut-off nodes while this node leads. The
 // answers are guarded by the epoch like every write of the leader.
 func (n *Node) relayDown(ctx context.Context, epoch unit.Epoch, since unit.Version) {
+	answered := answeredBatches{}
 	for n.leadsSince(epoch) && ctx.Err() == nil {
 		log, next, err := n.store.Watch(ctx, mesh.UpPrefix, since, watchHold)
 		if err != nil {
@@ -322,12 +327,31 @@
 			}
 		}
 		for key, c := range latest {
-			n.serveUp(ctx, key[len(mesh.UpPrefix):], c)
+			n.serveUp(ctx, key[len(mesh.UpPrefix):], c, answered)
 		}
 	}
 }
 
-func (n *Node) serveUp(ctx context.Context, node string, c statestore.Change) {
+// answeredBatches holds, for each node, the last batch that was answered through
+// the state service, and when the answers left.
+type answeredBatches map[string]struct {
+	id string
+	at unit.Instant
+}
+
+// mostQuietMs bounds what a node may say of its quiet time: some decades.
+const mostQuietMs = 1 << 40
+
+// attest takes in what a node that is out of reach over the mesh says of its
+// grant. It said so after it had seen the answers that it names, so that counts
+// from when these left; a batch itself may be long on its way.
+func (n *Node) attest(ctx context.Context, answered answeredBatches, b *mesh.Batch) {
+	if last := answered[b.Node]; b.Echo != "" && last.id == b.Echo && b.QuietMs >= 0 && b.QuietMs < mostQuietMs {
+		n.post(ctx, PeerSaid{Node: b.Node, Sent: last.at, Said: vouch.Said{Quiet: time.Duration(b.QuietMs) * time.Millisecond}})
+	}
+}
+
+func (n *Node) serveUp(ctx context.Context, node string, c statestore.Change, answered answeredBatches) {
 	if node == n.set.Label {
 		return
 	}
@@ -338,6 +362,7 @@
 		return
 	}
 	b.Node = node
+	n.attest(ctx, answered, b)
 	answers := n.serveBatch(ctx, b)
 	value, err := wire.Squeeze(answers)
 	for err == nil && len(answers.Reports) > 0 && len(value) > n.set.Params.State.ValueBytes()-answerMargin {
@@ -350,6 +375,9 @@
 		return
 	}
 	n.met.Relayed.Add(float64(len(answers.Reports)))
+	last := answered[node]
+	last.id, last.at = b.ID, n.clock.Now()
+	answered[node] = last
 	n.budget.TakeWrites(n.clock.Now(), statestore.UseLead, 1)
 	_, err = n.store.Commit(ctx, statestore.Txn{
 		Guards: []statestore.Guard{{Key: leadership.Key, Stamp: unit.Version(n.view.Load().epoch)}},
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -57,7 +57,7 @@
 		}
 		queue = append(queue, relayItem{report: r, until: b.clock.now.Add(time.Second)})
 	}
-	batch, sent, rest := b.n.batch("id", queue)
+	batch, sent, rest := b.n.batch("id", "", queue)
 	data, err := json.Marshal(batch)
 	if err != nil {
 		t.Fatal(err)
@@ -73,7 +73,7 @@
 		t.Errorf("%d bytes, %d sent, %d left", len(data), len(sent), len(rest))
 	}
 	b.clock.now = b.clock.now.Add(time.Minute)
-	if _, sent, rest := b.n.batch("id", queue); len(sent)+len(rest) != 0 {
+	if _, sent, rest := b.n.batch("id", "", queue); len(sent)+len(rest) != 0 {
 		t.Error("reports that nobody waits for any more are sent")
 	}
 }
@@ -99,7 +99,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data})
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data}, answeredBatches{})
 	item, _ := b.srv.State.Get(mesh.DownPrefix + "n1")
 	a, err := mesh.ExpandAnswers(item.Value)
 	if err != nil || a.ID != "b-1" || len(a.Reports) != 1 || a.Reports[0].Code != 200 || a.Reports[0].Epoch != 77 {
@@ -109,7 +109,7 @@
 		t.Errorf("an unknown job was answered: %+v", a.Asks)
 	}
 	// What can't be read is counted, and answered by nothing.
-	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: []byte{0xa3, 'n', 'o', '!'}})
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: []byte{0xa3, 'n', 'o', '!'}}, answeredBatches{})
 	if bad := testutil.ToFloat64(b.n.met.BadBatches); bad != 1 {
 		t.Errorf("%v bad batches counted, want 1", bad)
 	}
@@ -119,7 +119,7 @@
 	// Once another leads, nothing more is written.
 	b.srv.State.Commit(holder)
 	before := item.Stamp
-	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data})
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data}, answeredBatches{})
 	if item, _ := b.srv.State.Get(mesh.DownPrefix + "n1"); item.Stamp != before {
 		t.Error("a deposed leader answered")
 	}
@@ -185,3 +185,32 @@
 		t.Error("deposed by the answer to a write of an earlier term")
 	}
 }
+
+// TestRelayedNodesAttest: what a node says of its grant through the state
+// service counts from when the answers left that it has seen, never from when
+// it arrives; without a known answer it counts for nothing.
+func TestRelayedNodesAttest(t *testing.T) {
+	b := newBench(t)
+	answered := answeredBatches{}
+	data, err := wire.Squeeze(mesh.Batch{ID: "x", Node: "n1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := msgpack.Marshal(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	left := b.clock.now
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: value}, answered)
+	b.clock.now = b.clock.now.Add(20 * time.Second)
+	for _, bad := range []mesh.Batch{{Node: "n1"}, {Node: "n1", Echo: "y"}, {Node: "n2", Echo: "x"}, {Node: "n1", Echo: "x", QuietMs: -1}, {Node: "n1", Echo: "x", QuietMs: 1 << 60}} {
+		b.n.attest(context.Background(), answered, &bad)
+	}
+	if len(b.n.inbox) != 0 {
+		t.Fatalf("%v was taken in", <-b.n.inbox)
+	}
+	b.n.attest(context.Background(), answered, &mesh.Batch{Node: "n1", Echo: "x", QuietMs: 5000})
+	if in, ok := (<-b.n.inbox).(PeerSaid); !ok || in.Node != "n1" || in.Sent != left || in.Said.Quiet != 5*time.Second || in.Said.Life != 0 {
+		t.Errorf("taken in as %+v", in)
+	}
+}
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -29,6 +29,10 @@
 	Asks    wire.List[Ask]    `msgpack:"a,omitempty" json:"a,omitempty"`
 	// Vouch asks for a grant, and for what the node has done by its own.
 	Vouch bool `msgpack:"v,omitempty" json:"v,omitempty"`
+	// Echo names the last answers that the node has had through the state
+	// service before it said, in QuietMs, how long ago it kept a worker.
+	Echo    string `msgpack:"e,omitempty" json:"e,omitempty"`
+	QuietMs int64  `msgpack:"q,omitempty" json:"q,omitempty"`
 }
 
 // Ask is a withdrawal on its way to the leader.
--- a/internal/vouch/vouch.go
+++ b/internal/vouch/vouch.go
@@ -161,4 +161,7 @@
 
 // Quiet is how long ago, at least, this node kept a worker; what an earlier
 // process of it did was before this one started.
-func (k *Keeper) Quiet(now unit.Instant) time.Duration { return now.Sub(max(k.last, k.started)) }
+func (k *Keeper) Quiet(now unit.Instant) time.Duration { return now.Sub(k.QuietSince()) }
+
+// QuietSince is since when, at the latest, this node has kept no worker.
+func (k *Keeper) QuietSince() unit.Instant { return max(k.last, k.started) }
