--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -42,7 +42,7 @@
 	rng *rand.Rand, log *slog.Logger, met *Metrics) *Core {
 	times := leadership.Times{Life: pol.LeaseLife, Renew: pol.LeaseRenew, Poll: pol.LeaderPoll}
 	return &Core{set: set, pol: pol, log: log, met: met, budget: budget, clock: clock,
-		lead: leadership.New(set.Label, times, rng), keeper: vouch.NewKeeper(set.Location, vouch.ZonesOf(set), clock.Now())}
+		lead: leadership.New(set.Label, times, rng), keeper: vouch.NewKeeper(unit.Zone(set.Location), clock.Now())}
 }
 
 // Leader is the node that was last seen to lead, or "".
--- a/internal/vouch/ledger.go
+++ b/internal/vouch/ledger.go
@@ -11,13 +11,12 @@
 // Ledger is what a leader knows of the grants that others may be using.
 type Ledger struct {
 	life  time.Duration
-	zones Zones
 	peers map[string]*peer
 }
 
 type peer struct {
-	location string
-	span     fleet.Vouched
+	zone unit.Zone
+	span fleet.Vouched
 }
 
 // drift is what the steady clocks of two nodes may differ by.
@@ -27,9 +26,9 @@
 // Grants of those before it may be in use for their whole life from then on:
 // they were given before, by a leader that was entitled then.
 func NewLedger(set *config.Settings, acquired unit.Instant) *Ledger {
-	l := &Ledger{life: Life(set.Params.Workers), zones: ZonesOf(set), peers: map[string]*peer{}}
+	l := &Ledger{life: Life(set.Params.Workers), peers: map[string]*peer{}}
 	for _, p := range set.Peers {
-		l.peers[p.Label] = &peer{p.Location, fleet.Vouched{Last: acquired, Free: acquired, End: l.end(acquired)}}
+		l.peers[p.Label] = &peer{unit.Zone(p.Location), fleet.Vouched{Last: acquired, Free: acquired, End: l.end(acquired)}}
 	}
 	return l
 }
@@ -68,7 +67,7 @@
 		return sum, false
 	}
 	for _, p := range l.peers {
-		if z != "" && !l.zones.serves(p.location, z) {
+		if z != "" && p.zone != z {
 			continue
 		}
 		if !found {
--- a/internal/vouch/vouch.go
+++ b/internal/vouch/vouch.go
@@ -45,24 +45,6 @@
 	Quiet time.Duration
 }
 
-// Zones tells which node may keep the workers of which zone: those in it, or
-// all where there is none.
-type Zones map[unit.Zone]bool
-
-// ZonesOf returns the zones that hold a node.
-func ZonesOf(set *config.Settings) Zones {
-	z := Zones{unit.Zone(set.Location): true}
-	for _, p := range set.Peers {
-		z[unit.Zone(p.Location)] = true
-	}
-	return z
-}
-
-// serves tells whether a node at the location may keep workers of the zone.
-func (z Zones) serves(location string, zone unit.Zone) bool {
-	return zone != "" && (unit.Zone(location) == zone || !z[zone])
-}
-
 // Verdict on a report that this node can't answer as leader.
 type Verdict int
 
@@ -95,23 +77,25 @@
 	known = 10_000
 )
 
-// Keeper is the grant that a node holds, and what it did by it.
+// Keeper is the grant that a node holds, and what it did by it. It keeps workers
+// of its own zone only: who restarts can't say what it did before, so whatever a
+// node may keep is given up later when it does. When all nodes might keep those of
+// a zone that has none, one crash held dead machines there for 10 s more.
 type Keeper struct {
-	location string
-	zones    Zones
-	started  unit.Instant
-	epoch    unit.Epoch
-	heard    unit.Instant // when the last request left that the leader answered
-	base     unit.Instant // when the request for the grant left
-	until    unit.Instant
-	owing    map[unit.MachineID]bool
-	last     unit.Instant // 0: never kept a worker
-	sent     map[unit.MachineID]unit.Instant
+	zone    unit.Zone // of the node: it keeps no others' workers
+	started unit.Instant
+	epoch   unit.Epoch
+	heard   unit.Instant // when the last request left that the leader answered
+	base    unit.Instant // when the request for the grant left
+	until   unit.Instant
+	owing   map[unit.MachineID]bool
+	last    unit.Instant // 0: never kept a worker
+	sent    map[unit.MachineID]unit.Instant
 }
 
 // NewKeeper returns the keeper of a process that has started at now.
-func NewKeeper(location string, zones Zones, now unit.Instant) *Keeper {
-	return &Keeper{location: location, zones: zones, started: now, sent: map[unit.MachineID]unit.Instant{}}
+func NewKeeper(zone unit.Zone, now unit.Instant) *Keeper {
+	return &Keeper{zone: zone, started: now, sent: map[unit.MachineID]unit.Instant{}}
 }
 
 // Take takes in a grant that was asked for at base.
@@ -144,7 +128,7 @@
 	if cut == Connected || k.epoch == 0 || now.Sub(k.heard) < lost {
 		return Pass
 	}
-	may := now.Before(k.until) && k.zones.serves(k.location, r.Zone) && r.Seal <= k.epoch && !k.owing[r.Machine]
+	may := now.Before(k.until) && r.Zone == k.zone && r.Seal <= k.epoch && !k.owing[r.Machine]
 	if !may {
 		return SendOn
 	}
