--- a/internal/controller/returns.go
+++ b/internal/controller/returns.go
@@ -109,7 +109,7 @@
 			z = &hush{}
 			zones[m.Zone] = z
 		}
-		last := now.Sub(max(m.LastReport, t.acquired))
+		last := t.unheardFor(now, m)
 		z.count(last, limit, interval*3/2, m.ID)
 		all.count(last, limit, interval*3/2, m.ID)
 	}
@@ -117,7 +117,8 @@
 	// silent one after the other, and the first must not be returned alone.
 	few := all.quiet <= max(1, all.machines/10)
 	silent := map[unit.MachineID]bool{}
-	found := t.reach.relayed() || now.Sub(t.found) < foundFor
+	// All reports are looked over only where it matters.
+	found := !few && (t.reach.relayed() || now.Sub(t.found) < foundFor)
 	for _, z := range zones {
 		settled := !found && all.quiet == len(all.silent) && z.quiet <= z.machines/2
 		if all.machines < 3 || !few && !settled {
@@ -136,9 +137,14 @@
 // there yet was returned.
 const foundFor = 20 * time.Second
 
+// unheardFor is how long this leader has not heard the machine.
+func (t *term) unheardFor(now unit.Instant, m *fleet.Machine) time.Duration {
+	return now.Sub(max(m.LastReport, t.acquired))
+}
+
 // noteFound notes that a machine is heard that was silent for too long.
 func (t *term) noteFound(now unit.Instant, m *fleet.Machine) {
-	if m.Up && now.Sub(max(m.LastReport, t.acquired)) > t.silentLimit() {
+	if m.Up && t.unheardFor(now, m) > t.silentLimit() {
 		t.found = now
 	}
 }
--- a/internal/door/book.go
+++ b/internal/door/book.go
@@ -42,12 +42,11 @@
 
 // Visit is one connection in the book.
 type Visit struct {
-	kind    Kind
-	serving bool
-	since   unit.Instant // it waits for the next request since
-	waits   *list.Element
-	end     func() // closes the connection
-	gone    bool
+	kind  Kind
+	since unit.Instant  // it waits for the next request since
+	waits *list.Element // nil: a request is being served, or it is gone
+	end   func()        // closes the connection
+	gone  bool
 }
 
 // Book is the state of a door: who is in, and who has waited longest. It is
@@ -105,7 +104,7 @@
 }
 
 func (b *Book) wait(now unit.Instant, v *Visit) {
-	v.serving, v.since = false, now
+	v.since = now
 	v.waits = b.waiting[v.kind].PushBack(v)
 }
 
@@ -124,7 +123,7 @@
 	}
 	b.unwait(v)
 	b.count[v.kind]--
-	v.kind, v.serving = k, true
+	v.kind = k
 	b.count[k]++
 	if float64(b.open) <= crowded*float64(b.limits.All) {
 		return true
@@ -138,7 +137,7 @@
 
 // End notes that the request was answered.
 func (b *Book) End(now unit.Instant, v *Visit) {
-	if !v.gone && v.serving {
+	if !v.gone && v.waits == nil {
 		b.wait(now, v)
 	}
 }
--- a/internal/round/patience.go
+++ b/internal/round/patience.go
@@ -149,8 +149,7 @@
 // begins some time: one task on a dear machine does for that. Old jobs of the
 // lowest priority had hundreds of dear machines rented for all their tasks.
 func (p *planner) needsOnlyBegin(j *checkpoint.Job) bool {
-	return j.Spec.Priority < checkpoint.High && !j.Spec.Service && j.Spec.DeadlineS <= 0 &&
-		p.w.Expect[j.Spec.Class] == Expect{} && !j.Begun()
+	return j.Spec.Priority < checkpoint.High && p.unexpecting(j) && !j.Begun()
 }
 
 // unexpecting tells whether nothing is expected of the job's class: it has no
