--- /dev/null
+++ b/internal/controller/sim_nodes_test.go
@@ -0,0 +1,346 @@
+package controller
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+	"badgerbay/internal/vouch"
+)
+
+func (s *sim) start(n *simNode) {
+	set := *s.set
+	set.Label, set.Location = n.name, string(n.zone)
+	for _, p := range s.nodes {
+		if p != n {
+			set.Peers = append(set.Peers, config.Peer{Label: p.name, Location: string(p.zone)})
+		}
+	}
+	n.life++
+	n.alive = true
+	life := n.life
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	n.core = NewCore(&set, s.pol, simClock{s}, statestore.NewBudget(3, 80, 25),
+		rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64())), log, NewMetrics())
+	var tick func()
+	tick = func() {
+		if n.alive && n.life == life {
+			s.step(n, Tick{})
+			s.after(50*time.Millisecond, tick)
+		}
+	}
+	tick()
+}
+
+// severed tells whether nothing passes between two places; "" is the region,
+// where the state service and the cloud are.
+func (s *sim) severed(a, b unit.Zone) bool {
+	return s.zoneCut != "" && (a == s.zoneCut) != (b == s.zoneCut)
+}
+
+// stateless tells whether a node does not reach the state service.
+func (s *sim) stateless(n *simNode) bool { return s.alone[n.index] || s.severed(n.zone, "") }
+
+// meets tells whether one node reaches another over the mesh.
+func (s *sim) meets(a, b *simNode) bool {
+	return a.alive && b.alive && !s.alone[a.index] && !s.alone[b.index] && !s.severed(a.zone, b.zone)
+}
+
+// peers lets the nodes ask each other for grants, and find out what they are
+// cut off from.
+func (s *sim) peers() {
+	for _, n := range s.nodes {
+		if !n.alive {
+			continue
+		}
+		from, reached, stateful := vouch.Connected, 0, false
+		for _, p := range s.nodes {
+			if p != n && s.meets(n, p) && !s.lost() {
+				reached++
+				stateful = stateful || !s.stateless(p) && !s.state.Down
+				s.askPeer(n, p)
+			}
+		}
+		if s.stateless(n) || s.state.Down {
+			from = vouch.Alone
+			if reached == 2 && !stateful {
+				from = vouch.Outage
+			}
+		}
+		s.step(n, Isolated{From: from})
+		s.step(n, MeshCut{On: reached < len(s.nodes)-1})
+	}
+}
+
+func (s *sim) askPeer(n, p *simNode) {
+	life, sent := n.life, s.now
+	s.after(s.latency(), func() {
+		if p.alive {
+			s.step(p, PeerAsked{Node: n.name, Ticket: func(r ReplyPeer) {
+				s.reply(n, life, PeerSaid{Node: p.name, Sent: sent, Said: r.Said})
+			}})
+		}
+	})
+}
+
+func (s *sim) crash(n *simNode, back time.Duration) {
+	n.alive = false
+	n.life++
+	s.after(back, func() {
+		if !n.alive {
+			s.start(n)
+		}
+	})
+}
+
+func (s *sim) step(n *simNode, in Input) {
+	if until := s.frozen[n.index]; s.now.Before(until) {
+		// It queues, and finds a process that woke with its clocks run on.
+		life := n.life
+		s.after(until.Sub(s.now), func() {
+			if n.alive && n.life == life {
+				s.step(n, in)
+			}
+		})
+		return
+	}
+	for _, e := range n.core.Step(s.now, in) {
+		if _, ok := e.(DoLead); ok && s.electAt > 0 {
+			if s.electAt--; s.electAt == 0 {
+				s.carryOut(n, e) // it left, and the answer finds another process
+				s.crash(n, time.Duration(5+s.rng.IntN(300))*time.Millisecond)
+				return
+			}
+		}
+		if n.core.lead.Leads() && s.crashAt > 0 && changes(e) {
+			if s.crashAt--; s.crashAt == 0 {
+				s.crash(n, 3*time.Second)
+				return
+			}
+		}
+		s.carryOut(n, e)
+	}
+	n.view = n.core.lead.Epoch()
+}
+
+// reply posts the answer to an effect, unless the process has ended.
+func (s *sim) reply(n *simNode, life int, in Input) {
+	s.after(s.latency(), func() {
+		if n.alive && n.life == life {
+			s.step(n, in)
+		}
+	})
+}
+
+func (s *sim) carryOut(n *simNode, e Effect) {
+	life := n.life
+	switch e := e.(type) {
+	case ReplyReport:
+		e.Ticket.(func(ReplyReport))(e)
+	case ReplyAsk:
+		e.Ticket.(func(ReplyAsk))(e)
+	case ReplyPeer:
+		e.Ticket.(func(ReplyPeer))(e)
+	case DoLead:
+		s.after(s.latency(), func() { s.doLead(n, life, e.Effect) })
+	case LoadAll:
+		s.after(s.latency(), func() {
+			jobs, _, err := s.state.List(checkpoint.KeyPrefix)
+			rounds, _, err2 := s.state.List(round0)
+			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && err2 == nil && !s.stateless(n), Jobs: jobs, Rounds: rounds})
+		})
+	case ReadJob:
+		s.after(s.latency(), func() {
+			item, err := s.state.Get(checkpoint.Key(e.Job))
+			s.reply(n, life, JobRead{Job: e.Job, OK: err == nil && !s.stateless(n), Item: item})
+		})
+	case Commit:
+		s.after(s.latency(), func() { s.commit(n, life, e, false) })
+	case Do:
+		s.do(n, life, e)
+	default:
+		s.callCloud(n, life, e)
+	}
+}
+
+const round0 = "round/"
+
+// sent tells whether the answer to a request comes; if not, the request is
+// executed at once, later, or never.
+func (s *sim) sent(do func()) bool {
+	if !s.lost() {
+		do()
+		return true
+	}
+	switch s.rng.IntN(3) {
+	case 0:
+		do()
+	case 1:
+		s.after(time.Duration(s.rng.IntN(20_000))*time.Millisecond, do)
+	}
+	return false
+}
+
+func (s *sim) doLead(n *simNode, life int, e leadership.Effect) {
+	sent := s.now
+	if s.stateless(n) {
+		s.after(1500*time.Millisecond, func() { s.unanswered(n, life, e, sent) })
+		return
+	}
+	switch e := e.(type) {
+	case leadership.ReadKey:
+		h, stamp, err := s.holder()
+		s.reply(n, life, Lead{leadership.KeyRead{OK: err == nil, Holder: h, Stamp: stamp}})
+	case leadership.GrantLease:
+		tenure, err := s.state.Grant(s.now, e.Life)
+		s.reply(n, life, Lead{leadership.Granted{OK: err == nil, Tenure: tenure, Sent: sent}})
+	case leadership.Renew:
+		var err error
+		if !s.sent(func() { err = s.state.Extend(s.now, e.Tenure) }) {
+			err = statestore.ErrUncertain
+		}
+		s.reply(n, life, Lead{leadership.Renewed{Outcome: outcomeOf(err), Sent: sent}})
+	case leadership.Acquire:
+		v, err := s.tryCommit(holderTxn(e.Prev, e.Holder, e.Tenure))
+		s.reply(n, life, Lead{leadership.Acquired{Outcome: outcomeOf(err), Epoch: unit.Epoch(v)}})
+	case leadership.Reseal:
+		v, err := s.tryCommit(holderTxn(e.Prev, e.Holder, e.Tenure))
+		if err == nil {
+			s.reply(n, life, Lead{leadership.Resealed{Outcome: leadership.OK, Epoch: unit.Epoch(v)}})
+			return
+		}
+		s.after(150*time.Millisecond, func() { s.readBackSeal(n, life, e) })
+	case leadership.HandOver:
+		if _, err := s.tryCommit(holderTxn(e.Prev, e.Holder, e.Tenure)); err != nil {
+			s.state.Revoke(e.Tenure)
+		}
+	case leadership.Release:
+		s.state.Revoke(e.Tenure)
+	}
+}
+
+// unanswered is what comes of a request that does not reach the state service.
+func (s *sim) unanswered(n *simNode, life int, e leadership.Effect, sent unit.Instant) {
+	switch e := e.(type) {
+	case leadership.ReadKey:
+		s.reply(n, life, Lead{leadership.KeyRead{}})
+	case leadership.GrantLease:
+		s.reply(n, life, Lead{leadership.Granted{Sent: sent}})
+	case leadership.Renew:
+		s.reply(n, life, Lead{leadership.Renewed{Outcome: leadership.Unknown, Sent: sent}})
+	case leadership.Acquire:
+		s.reply(n, life, Lead{leadership.Acquired{Outcome: leadership.Unknown}})
+	case leadership.Reseal:
+		s.readBackSeal(n, life, e)
+	}
+}
+
+func (s *sim) readBackSeal(n *simNode, life int, e leadership.Reseal) {
+	h, stamp, err := s.holder()
+	switch {
+	case !n.alive || n.life != life || n.core.lead.Epoch() != e.Prev:
+	case err != nil || s.stateless(n):
+		s.after(150*time.Millisecond, func() { s.readBackSeal(n, life, e) })
+	case h != e.Holder:
+		s.reply(n, life, Lead{leadership.Deposed{}})
+	case stamp > e.Prev:
+		s.reply(n, life, Lead{leadership.Resealed{Outcome: leadership.OK, Epoch: stamp}})
+	default:
+		s.reply(n, life, Lead{leadership.Resealed{Outcome: leadership.Refused}})
+	}
+}
+
+func (s *sim) holder() (leadership.Holder, unit.Epoch, error) {
+	item, err := s.state.Get(leadership.Key)
+	var h leadership.Holder
+	if err == nil && item.Stamp != 0 {
+		err = msgpack.Unmarshal(item.Value, &h)
+	}
+	return h, unit.Epoch(item.Stamp), err
+}
+
+func (s *sim) tryCommit(t statestore.Txn) (unit.Version, error) {
+	var v unit.Version
+	var err error
+	if !s.sent(func() { v, err = s.state.Commit(t) }) {
+		return 0, statestore.ErrUncertain
+	}
+	return v, err
+}
+
+// commit does what Node.commit does: an unanswered transaction is sent again,
+// and a conflict after that is settled by reading back.
+func (s *sim) commit(n *simNode, life int, c Commit, unsure bool) {
+	if !n.alive || n.life != life {
+		return
+	}
+	again := func(unsure bool) { s.after(150*time.Millisecond, func() { s.commit(n, life, c, unsure) }) }
+	if s.stateless(n) {
+		again(true)
+		return
+	}
+	v, err := s.tryCommit(c.Txn)
+	done := Committed{Kind: c.Kind, Epoch: c.Epoch, Outcome: outcomeOf(err), Version: v}
+	var conflict *statestore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		done.Failed = conflict.Failed
+		for _, k := range conflict.Failed {
+			if k == leadership.Key {
+				done.Outcome = leadership.Gone
+			}
+		}
+		if done.Outcome != leadership.Gone && unsure {
+			item, err := s.state.Get(c.Txn.Writes[0].Set)
+			if err != nil {
+				again(true)
+				return
+			}
+			if item.Stamp > c.Txn.Guards[1].Stamp {
+				done.Outcome, done.Version, done.Failed = leadership.OK, item.Stamp, nil
+			}
+		}
+	case errors.Is(err, statestore.ErrUncertain) || err != nil && unsure:
+		again(true)
+		return
+	}
+	s.reply(n, life, done)
+}
+
+func (s *sim) epochs() unit.Epoch {
+	_, e, _ := s.holder()
+	return e
+}
+
+func (s *sim) leader() *simNode {
+	for _, n := range s.nodes {
+		if n.alive && n.core.lead.Entitled(s.now) {
+			return n
+		}
+	}
+	return nil
+}
+
+// changes tells whether an effect changes something outside the process.
+func changes(e Effect) bool {
+	switch e := e.(type) {
+	case Commit, Do, CallHire, CallRelease:
+		return true
+	case ReplyReport:
+		return len(e.Orders) > 0
+	case DoLead:
+		_, reads := e.Effect.(leadership.ReadKey)
+		_, renews := e.Effect.(leadership.Renew)
+		return !reads && !renews
+	}
+	return false
+}
--- /dev/null
+++ b/internal/controller/sim_users_test.go
@@ -0,0 +1,229 @@
+package controller
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/standin"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// seen checks the rules as a task comes to be on a machine.
+func (s *sim) seen(_ unit.Instant, w *standin.Worker, id unit.TaskID, on bool) {
+	if !on {
+		if s.on[id] == w.ID {
+			delete(s.on, id)
+		}
+		return
+	}
+	s.starts++
+	j := s.jobs[id.Job]
+	if m, twice := s.on[id]; twice && m != w.ID {
+		s.t.Fatalf("ran_twice: %v on %s and %s", id, m, w.ID)
+	}
+	if j.cancelled != 0 && s.now.Sub(j.cancelled) > s.set.Params.Workers.Cancel() {
+		s.t.Fatalf("ran_cancelled: %v starts", id)
+	}
+	if !j.spec.Allows(w.Type.Name, w.Zone, w.Spot) {
+		s.t.Fatalf("wrong_place: %v on %s", id, w.ID)
+	}
+	if j.began == 0 {
+		j.began = s.now
+	}
+	s.on[id], s.zones[id] = w.ID, w.Zone
+	used, here := map[unit.Team]float64{}, 0
+	for task := range s.on {
+		o := s.jobs[task.Job]
+		used[o.spec.Team] += o.spec.CPUs
+		if task.Job != id.Job {
+			continue
+		}
+		if s.zones[task] == w.Zone {
+			here++
+		} else if j.spec.OneZone {
+			s.t.Fatalf("wrong_place: %v is not with the others", id)
+		}
+	}
+	if j.spec.Spread && here > j.spec.ZoneCap() {
+		s.t.Fatalf("wrong_place: %d of %v in %s", here, id.Job, w.Zone)
+	}
+	for _, team := range s.set.Params.Teams {
+		if team.CPUsMax > 0 && used[team.Name] > team.CPUsMax {
+			s.t.Fatalf("quota: %s uses %v", team.Name, used[team.Name])
+		}
+	}
+}
+
+// submit stores a job as any node does, and tells the nodes.
+func (s *sim) submit(n int, spec checkpoint.Spec, run time.Duration) unit.JobID {
+	id := unit.JobID(fmt.Sprintf("wk-%06d", n))
+	j := &simJob{spec: spec, run: run}
+	s.jobs[id] = j
+	var try func()
+	try = func() {
+		key := checkpoint.Key(id)
+		_, err := s.state.Commit(statestore.Txn{Guards: []statestore.Guard{{Key: key}},
+			Writes: []statestore.Write{{Set: key, Value: checkpoint.NewRecord(spec, simClock{s}.Wall().UnixMilli())}}})
+		if err != nil {
+			s.after(time.Second, try)
+			return
+		}
+		j.submitted, j.accepted = true, s.now
+	}
+	try()
+	s.every(2*time.Second, func() {
+		for _, node := range s.nodes {
+			if node.alive && j.submitted && !j.over() && !s.severed(node.zone, "") {
+				s.step(node, Noticed{Job: id})
+				s.poll(node, id, j)
+			}
+		}
+	})
+	return id
+}
+
+func (j *simJob) over() bool { return j.told == intake.Done || j.told == intake.Cancelled }
+
+func (s *sim) poll(n *simNode, id unit.JobID, j *simJob) {
+	s.step(n, Asked{Job: id, Ticket: func(a ReplyAsk) {
+		if a.Outcome == intake.Known && s.now.Before(a.Until) {
+			s.hear(id, j, a.Status)
+		}
+	}})
+}
+
+// hear checks what a user is told against what was said before.
+func (s *sim) hear(id unit.JobID, j *simJob, st intake.Status) {
+	if j.over() && st.Standing != j.told {
+		s.t.Fatalf("went_back: %s was %s and is %s", id, j.told, st.Standing)
+	}
+	if st.Standing == intake.Done && st.Done != j.spec.Tasks {
+		s.t.Fatalf("not_done: %s has %d of %d", id, st.Done, j.spec.Tasks)
+	}
+	j.heard = s.now
+	if st.Standing == intake.Cancelled && j.cancelled == 0 {
+		j.cancelled = s.now
+	}
+	j.told = st.Standing
+}
+
+// withdraw asks until it is told.
+func (s *sim) withdraw(id unit.JobID) {
+	j := s.jobs[id]
+	if j.over() {
+		return
+	}
+	for _, n := range s.nodes {
+		if n.alive && !s.severed(n.zone, "") {
+			s.step(n, Asked{Job: id, Withdraw: true, Ticket: func(a ReplyAsk) {
+				if a.Outcome == intake.Known && s.now.Before(a.Until) {
+					s.hear(id, j, a.Status)
+				}
+			}})
+		}
+	}
+	s.after(2*time.Second, func() { s.withdraw(id) })
+}
+
+var (
+	batch = checkpoint.Spec{Class: "arr", Team: "red", Priority: checkpoint.Standard, Tasks: 6, CPUs: 2, MemoryGB: 4,
+		Image: "img", ImageGB: 1, EstimateS: 10, Spot: true}
+	spread = checkpoint.Spec{Class: "svc", Team: "blue", Priority: checkpoint.Prod, Service: true, Tasks: 3, CPUs: 2,
+		MemoryGB: 2, Image: "svc", ImageGB: 1, Spread: true}
+	together = checkpoint.Spec{Class: "arr", Team: "blue", Priority: checkpoint.BestEffort, Tasks: 4, CPUs: 2, MemoryGB: 4,
+		Image: "img2", ImageGB: 1, EstimateS: 10, OneZone: true, Spot: true}
+)
+
+func (s *sim) load() {
+	n := 0
+	for range 6 {
+		s.submit(n, batch, 12*time.Second)
+		s.submit(n+1, spread, 0)
+		s.submit(n+2, together, 8*time.Second)
+		n += 3
+		s.run(8 * time.Second)
+	}
+}
+
+// finish lets all faults end and checks that every job comes to its end.
+func (s *sim) finish() {
+	s.late = 0
+	s.loss, s.dup, s.state.Down, s.cloud.Down = 0, 0, false, false
+	s.cut, s.alone, s.frozen = map[int]bool{}, map[int]bool{}, map[int]unit.Instant{}
+	s.heal()
+	s.known()
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		if s.jobs[id].spec.Service {
+			s.withdraw(id)
+		}
+	}
+	s.run(200 * time.Second)
+	for id, j := range s.jobs {
+		if !j.over() {
+			s.t.Errorf("%s is still %q", id, j.told)
+		}
+	}
+	if s.starts == 0 {
+		s.t.Error("nothing_ran")
+	}
+	s.served()
+	s.t.Logf("%d starts, %d machines left, %d changes written, epoch %d", s.starts, len(s.cloud.Machines), s.state.Writes, s.epochs())
+}
+
+// known lets 75 s pass and checks that every accepted job was answered in them.
+func (s *sim) known() {
+	begun := s.now
+	s.run(75 * time.Second)
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
+		if j.over() || !j.submitted {
+			continue
+		}
+		if j.heard < begun {
+			s.t.Errorf("forgotten: no question about %s was answered for 75 s", id)
+		}
+	}
+}
+
+// served checks that at least half of each class and of each team has begun.
+func (s *sim) served() {
+	began, all := map[string]int{}, map[string]int{}
+	for _, j := range s.jobs {
+		for _, group := range []string{"class " + string(j.spec.Class), "team " + string(j.spec.Team)} {
+			all[group]++
+			if j.began != 0 {
+				began[group]++
+			}
+		}
+	}
+	for group, n := range all {
+		if 2*began[group] < n {
+			s.t.Errorf("%d of %d of %s were served", began[group], n, group)
+		}
+	}
+}
+
+// drawJobs submits replicas, large arrays and many small ones over a minute.
+func (s *sim) drawJobs(more int) {
+	replicas, large, small := spread, batch, together
+	replicas.Tasks, large.Tasks, large.CPUs = 4, 400, 4
+	for i := range 60 + more {
+		s.after(time.Duration(i)*time.Second, func() {
+			s.submit(10*i, replicas, 0)
+			s.submit(10*i+1, small, 8*time.Second)
+			if i%4 == 0 {
+				s.submit(10*i+2, large, time.Duration(20+s.rng.IntN(40))*time.Second)
+			}
+		})
+		if i%7 == 3 {
+			s.after(time.Duration(i+10+s.rng.IntN(60))*time.Second, func() {
+				s.withdraw(unit.JobID(fmt.Sprintf("wk-%06d", 10*i+s.rng.IntN(2))))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/sim_world_test.go
@@ -0,0 +1,308 @@
+package controller
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/standin"
+	"badgerbay/internal/unit"
+)
+
+func (s *sim) do(n *simNode, life int, e Do) {
+	var exec func() *fleet.Report
+	exec = func() *fleet.Report {
+		if until := s.hung[e.Machine]; s.now.Before(until) {
+			// Held by the machine, and executed when it goes on.
+			s.after(until.Sub(s.now)+time.Millisecond, func() { exec() })
+			return nil
+		}
+		if s.now.Before(s.deaf[e.Machine]) {
+			return nil // it never arrives
+		}
+		if h := s.cloud.Machines[e.Machine]; h != nil && s.severed(n.zone, h.Offer.Zone) {
+			// Held by the network, and delivered when the cut ends.
+			s.held = append(s.held, func() { exec() })
+			return nil
+		}
+		if h := s.cloud.Machines[e.Machine]; h != nil && h.Worker != nil && !h.Failed {
+			h.Worker.Advance(s.now)
+			return h.Worker.Do(s.now, e.Epoch, e.Shift, e.Orders)
+		}
+		return nil
+	}
+	s.after(s.latency(), func() {
+		var r *fleet.Report
+		if !s.sent(func() { r = exec() }) || r == nil {
+			r = nil
+			s.after(3*time.Second, func() { s.reply(n, life, DoDone{Machine: e.Machine, Epoch: e.Epoch}) })
+			return
+		}
+		s.reply(n, life, DoDone{Machine: e.Machine, Epoch: e.Epoch, Report: r})
+		if s.rng.Float64() < s.dup {
+			s.after(time.Duration(1+s.rng.IntN(60))*time.Second, func() { exec() })
+		}
+	})
+}
+
+// heal ends the cut of a zone; what it held arrives.
+func (s *sim) heal() {
+	s.zoneCut = ""
+	held := s.held
+	s.held = nil
+	for _, do := range held {
+		s.after(s.latency(), do)
+	}
+}
+
+func (s *sim) callCloud(n *simNode, life int, e Effect) {
+	if s.severed(n.zone, "") {
+		s.after(5*time.Second, func() { s.cloudSilent(n, life, e) })
+		return
+	}
+	s.after(50*time.Millisecond, func() {
+		switch e := e.(type) {
+		case CallHire:
+			done := HireDone{Name: e.Name, Offer: e.Offer, Sent: s.now, Verdict: rental.Uncertain}
+			var ids []unit.MachineID
+			var err error
+			if s.sent(func() { ids, err = s.cloud.Hire(s.now, e.Name, e.Offer, e.Count) }) {
+				done.Machines = ids
+				done.Verdict = map[bool]rental.Verdict{true: rental.Granted, false: rental.NoneLeft}[err == nil]
+				if errors.Is(err, rental.ErrBusy) {
+					done.Verdict = rental.Deferred
+				}
+			}
+			s.reply(n, life, done)
+		case CallRelease:
+			var err error
+			ok := s.sent(func() {
+				if err = s.cloud.Release(e.Machines); err == nil {
+					for _, id := range e.Machines {
+						s.offMachine(id)
+					}
+				}
+			})
+			s.reply(n, life, ReleaseDone{Machines: e.Machines, OK: ok && err == nil})
+		case CallList:
+			list, err := s.cloud.List(s.now)
+			s.reply(n, life, ListDone{OK: err == nil, Sent: s.now, Machines: list})
+		case CallFlavors:
+			s.reply(n, life, FlavorsDone{Types: s.cloud.Types})
+		}
+	})
+}
+
+// cloudSilent is what comes of a call that does not reach the cloud.
+func (s *sim) cloudSilent(n *simNode, life int, e Effect) {
+	switch e := e.(type) {
+	case CallHire:
+		s.reply(n, life, HireDone{Name: e.Name, Offer: e.Offer, Sent: s.now, Verdict: rental.Uncertain})
+	case CallRelease:
+		s.reply(n, life, ReleaseDone{Machines: e.Machines})
+	case CallList:
+		s.reply(n, life, ListDone{})
+	case CallFlavors:
+		s.reply(n, life, FlavorsDone{})
+	}
+}
+
+func (s *sim) offMachine(id unit.MachineID) {
+	for task, m := range s.on {
+		if m == id {
+			delete(s.on, task)
+		}
+	}
+}
+
+// take makes a machine vanish without notice.
+func (s *sim) take(id unit.MachineID) {
+	s.offMachine(id)
+	s.cloud.Take(id)
+}
+
+// world lets time pass outside the nodes.
+func (s *sim) world() {
+	if s.state.Breach != "" {
+		s.t.Fatalf("beyond the limits of the state service: %s", s.state.Breach)
+	}
+	s.state.Expire(s.now)
+	lease := s.set.Params.Workers.Lease()
+	for _, w := range s.cloud.Up(s.now, func(id unit.MachineID, h *standin.Host) *standin.Worker {
+		var typ *fleet.Type
+		for _, ty := range s.cloud.Types {
+			if ty.Name == h.Offer.Type {
+				typ = ty
+			}
+		}
+		return standin.NewWorker(id, typ, h.Offer.Zone, h.Offer.Spot, lease, s.now)
+	}) {
+		w.Fetch = time.Second
+		w.Seen = s.seen
+		w.Spec = func(id unit.JobID) (*checkpoint.Spec, time.Duration, bool) {
+			j := s.jobs[id]
+			if j == nil || !j.submitted {
+				return nil, 0, false
+			}
+			return &j.spec, j.run, true
+		}
+		s.reportLoop(w, s.rng.IntN(len(s.nodes)))
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.cloud.Machines)) {
+		h := s.cloud.Machines[id]
+		if h.Worker == nil || h.Failed {
+			continue
+		}
+		if s.now.Before(s.hung[id]) {
+			h.Worker.Expire(s.now)
+		} else {
+			h.Worker.Advance(s.now)
+		}
+	}
+	for id, j := range s.jobs {
+		if j.cancelled == 0 || s.now.Sub(j.cancelled) < s.set.Params.Workers.Cancel() {
+			continue
+		}
+		for task, m := range s.on {
+			if task.Job == id {
+				s.t.Fatalf("ran_cancelled: %v on %s", task, m)
+			}
+		}
+	}
+}
+
+// reportLoop sends a worker's reports to a node, and goes on to another when
+// it is refused.
+func (s *sim) reportLoop(w *standin.Worker, node int) {
+	h := s.cloud.Machines[w.ID]
+	if h == nil || h.Worker != w || h.Failed {
+		return
+	}
+	if until := s.hung[w.ID]; s.now.Before(until) {
+		s.after(until.Sub(s.now)+time.Millisecond, func() { s.reportLoop(w, node) })
+		return
+	}
+	w.Advance(s.now)
+	n, sent, shift, r := s.nodes[node], s.now, w.Shift, w.Report()
+	interval := s.set.Params.Workers.ReportInterval()
+	next := interval*3/4 + time.Duration(s.rng.Int64N(int64(interval/2)))
+	answered := false
+	follow := func(node int, d time.Duration) {
+		if !answered {
+			answered = true
+			s.after(d, func() { s.reportLoop(w, node) })
+		}
+	}
+	if s.rng.Float64() < s.late {
+		// A copy that was held on its way; nobody waits for its answer.
+		s.after(time.Second+time.Duration(s.rng.Int64N(int64(s.lateBy))), func() {
+			if n.alive {
+				s.step(n, Reported{Report: r, Ticket: func(ReplyReport) {}})
+			}
+		})
+	}
+	s.after(4*time.Second, func() { follow((node+1)%len(s.nodes), time.Second) })
+	if s.severed(n.zone, w.Zone) {
+		s.held = append(s.held, func() {
+			if n.alive {
+				s.step(n, Reported{Report: r, Ticket: func(ReplyReport) {}})
+			}
+		})
+		return
+	}
+	if !n.alive || s.cut[node] || s.lost() {
+		return
+	}
+	s.after(s.latency(), func() {
+		if !n.alive {
+			return
+		}
+		s.step(n, Reported{Report: r, Ticket: func(a ReplyReport) {
+			s.after(s.latency(), func() {
+				if s.cut[node] || s.severed(n.zone, w.Zone) || answered || s.now.Before(s.hung[w.ID]) || s.now.Before(s.deaf[w.ID]) {
+					return
+				}
+				switch {
+				case a.Code == 200:
+					w.Advance(s.now)
+					before := w.Seal
+					if w.Answered(s.now, sent, shift, a.Epoch, a.Orders) && w.Seal > before {
+						next = 500 * time.Millisecond
+					}
+					follow(node, next)
+				case a.Code == 421 && a.Leader != "" && a.Leader != n.name:
+					follow(int(a.Leader[1]-'0'), 200*time.Millisecond)
+				default:
+					follow((node+1)%len(s.nodes), time.Second)
+				}
+			})
+		}})
+	})
+}
+
+// grow gives the world about so many machines in the zones; nodes stand in the
+// first two.
+func (s *sim) grow(zones []unit.Zone, machines int) {
+	s.set.Params.Zones = zones
+	clear(s.cloud.Capacity)
+	for _, typ := range s.cloud.Types {
+		typ.Zones = zones
+		for _, z := range zones {
+			for _, spot := range []bool{false, true} {
+				s.cloud.Capacity[rental.Offer{Type: typ.Name, Zone: z, Spot: spot}] = machines / (2 * len(zones) * len(s.cloud.Types))
+			}
+		}
+	}
+	for _, n := range s.nodes {
+		s.crash(n, time.Millisecond)
+	}
+}
+
+// trouble draws one trouble, which may come on top of others.
+func (s *sim) trouble() {
+	n := s.nodes[s.rng.IntN(3)]
+	if l := s.leader(); l != nil && s.rng.IntN(2) == 0 {
+		n = l
+	}
+	length := time.Duration(500<<s.rng.IntN(7)) * time.Millisecond
+	switch s.rng.IntN(7) {
+	case 0:
+		s.zoneCut = s.set.Params.Zones[s.rng.IntN(len(s.set.Params.Zones))]
+		s.after(length+10*time.Second, s.heal)
+	case 1:
+		s.frozen[n.index] = s.now.Add(length)
+	case 2:
+		for _, o := range s.nodes {
+			if o == n || s.rng.IntN(2) == 0 {
+				s.crash(o, time.Duration(20+s.rng.IntN(4000))*time.Millisecond)
+			}
+		}
+	case 3:
+		s.alone[n.index] = true
+		s.after(length, func() { delete(s.alone, n.index) })
+	case 4:
+		s.state.Down = true
+		s.after(length, func() { s.state.Down = false })
+	case 5:
+		s.lose(func(id unit.MachineID) {
+			if s.cloud.Machines[id].Worker != nil {
+				s.take(id)
+			}
+		})
+	case 6:
+		s.lose(func(id unit.MachineID) { s.hung[id] = s.now.Add(length) })
+	}
+}
+
+// lose draws a third of the machines.
+func (s *sim) lose(how func(unit.MachineID)) {
+	for _, id := range slices.Sorted(maps.Keys(s.cloud.Machines)) {
+		if s.rng.IntN(3) == 0 {
+			how(id)
+		}
+	}
+}
