--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -74,6 +74,12 @@
 			owing[p.Machine] = true
 		}
 	}
+	for _, m := range t.fleet.Machines() {
+		if m.StrayRuns() {
+			// No placement tells whose it is.
+			owing[m.ID] = true
+		}
+	}
 	if len(owing) > maxOwing {
 		s.Life = 0
 	}
--- a/internal/controller/sim_nodes_test.go
+++ b/internal/controller/sim_nodes_test.go
@@ -48,11 +48,13 @@
 }
 
 // stateless tells whether a node does not reach the state service.
-func (s *sim) stateless(n *simNode) bool { return s.alone[n.index] || s.severed(n.zone, "") }
+func (s *sim) stateless(n *simNode) bool {
+	return s.alone[n.index] || s.refused[n.index] || s.severed(n.zone, "")
+}
 
 // meets tells whether one node reaches another over the mesh.
 func (s *sim) meets(a, b *simNode) bool {
-	return a.alive && b.alive && !s.alone[a.index] && !s.alone[b.index] && !s.severed(a.zone, b.zone)
+	return a.alive && b.alive && !s.meshCut && !s.alone[a.index] && !s.alone[b.index] && !s.severed(a.zone, b.zone)
 }
 
 // peers lets the nodes ask each other for grants, and find out what they are
@@ -151,20 +153,20 @@
 	case ReplyPeer:
 		e.Ticket.(func(ReplyPeer))(e)
 	case DoLead:
-		s.after(s.latency(), func() { s.doLead(n, life, e.Effect) })
+		s.after(s.stateLatency(), func() { s.doLead(n, life, e.Effect) })
 	case LoadAll:
-		s.after(s.latency(), func() {
+		s.after(s.slowLoads+s.stateLatency(), func() {
 			jobs, _, err := s.state.List(checkpoint.KeyPrefix)
 			rounds, _, err2 := s.state.List(round0)
 			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && err2 == nil && !s.stateless(n), Jobs: jobs, Rounds: rounds})
 		})
 	case ReadJob:
-		s.after(s.latency(), func() {
+		s.after(s.stateLatency(), func() {
 			item, err := s.state.Get(checkpoint.Key(e.Job))
 			s.reply(n, life, JobRead{Job: e.Job, OK: err == nil && !s.stateless(n), Item: item})
 		})
 	case Commit:
-		s.after(s.latency(), func() { s.commit(n, life, e, false) })
+		s.after(s.stateLatency(), func() { s.commit(n, life, e, false) })
 	case Do:
 		s.do(n, life, e)
 	default:
@@ -190,6 +192,15 @@
 	return false
 }
 
+// stateLatency is how long a request to the state service takes, there or back.
+func (s *sim) stateLatency() time.Duration {
+	d := s.latency()
+	if s.slowState > 0 && s.rng.IntN(3) == 0 {
+		d += time.Duration(s.rng.Int64N(int64(s.slowState)))
+	}
+	return d
+}
+
 func (s *sim) doLead(n *simNode, life int, e leadership.Effect) {
 	sent := s.now
 	if s.stateless(n) {
@@ -271,6 +282,10 @@
 func (s *sim) tryCommit(t statestore.Txn) (unit.Version, error) {
 	var v unit.Version
 	var err error
+	if s.lateWrites > 0 && s.rng.Float64() < s.lateWrites {
+		s.after(2*time.Second+time.Duration(s.rng.Int64N(int64(10*time.Second))), func() { s.state.Commit(t) })
+		return 0, statestore.ErrUncertain
+	}
 	if !s.sent(func() { v, err = s.state.Commit(t) }) {
 		return 0, statestore.ErrUncertain
 	}
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -49,6 +49,13 @@
 	lateBy    time.Duration                   // how late at most
 	crashAt   int                             // the leader crashes before this many of its next effects
 	electAt   int                             // likewise, any node before a request of its election; it is back at once
+
+	refused    map[int]bool                    // nodes that the state service refuses; the mesh is whole
+	meshCut    bool                            // nodes refuse each other's connections
+	lateWrites float64                         // the share of transactions that are carried out late, without an answer
+	slowState  time.Duration                   // how long the state service takes at most
+	slowLoads  time.Duration                   // how long a new leader needs to read the records
+	mute       map[unit.MachineID]unit.Instant // machines whose reports reach nobody, though commands reach them
 }
 
 type simNode struct {
@@ -120,7 +127,8 @@
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: unit.Instant(time.Hour), set: simSettings(), pol: pol,
 		state: standin.NewState(), cloud: standin.NewCloud(types, capacity), jobs: map[unit.JobID]*simJob{},
 		on: map[unit.TaskID]unit.MachineID{}, zones: map[unit.TaskID]unit.Zone{}, cut: map[int]bool{},
-		hung: map[unit.MachineID]unit.Instant{}, deaf: map[unit.MachineID]unit.Instant{}, alone: map[int]bool{}, frozen: map[int]unit.Instant{}, lateBy: 40 * time.Second}
+		hung: map[unit.MachineID]unit.Instant{}, deaf: map[unit.MachineID]unit.Instant{}, alone: map[int]bool{}, frozen: map[int]unit.Instant{},
+		refused: map[int]bool{}, mute: map[unit.MachineID]unit.Instant{}, lateBy: 40 * time.Second}
 	s.cloud.Boot = func() time.Duration { return time.Duration(2+s.rng.IntN(10)) * time.Second }
 	s.state.ValueBytes, s.state.TxnOps = s.set.Params.State.ValueBytes(), s.set.Params.State.TxnOps
 	for i := range 3 {
--- a/internal/controller/sim_users_test.go
+++ b/internal/controller/sim_users_test.go
@@ -89,10 +89,30 @@
 
 func (j *simJob) over() bool { return j.told == intake.Done || j.told == intake.Cancelled }
 
-func (s *sim) poll(n *simNode, id unit.JobID, j *simJob) {
-	s.step(n, Asked{Job: id, Ticket: func(a ReplyAsk) {
-		if a.Outcome == intake.Known && s.now.Before(a.Until) {
+func (s *sim) poll(n *simNode, id unit.JobID, j *simJob) { s.ask(n, id, j, false) }
+
+// ask puts a user's question to a node, which answers as intake does: where no
+// leader can be asked, by the record if that decides.
+func (s *sim) ask(n *simNode, id unit.JobID, j *simJob, withdraw bool) {
+	life := n.life
+	s.step(n, Asked{Job: id, Withdraw: withdraw, Ticket: func(a ReplyAsk) {
+		switch {
+		case a.Outcome == intake.Known && s.now.Before(a.Until):
 			s.hear(id, j, a.Status)
+		case a.Outcome == intake.NoLeader || a.Outcome == intake.Absent:
+			s.after(s.stateLatency(), func() {
+				item, err := s.state.Get(checkpoint.Key(id))
+				if !n.alive || n.life != life || s.stateless(n) || err != nil || item.Stamp == 0 {
+					return
+				}
+				r, err := checkpoint.Decode(item.Value)
+				if err != nil {
+					s.t.Fatalf("%s: %v", id, err)
+				}
+				if !withdraw || r.Phase.Final() {
+					s.hear(id, j, intake.StatusOfRecord(r))
+				}
+			})
 		}
 	}})
 }
@@ -120,11 +140,7 @@
 	}
 	for _, n := range s.nodes {
 		if n.alive && !s.severed(n.zone, "") {
-			s.step(n, Asked{Job: id, Withdraw: true, Ticket: func(a ReplyAsk) {
-				if a.Outcome == intake.Known && s.now.Before(a.Until) {
-					s.hear(id, j, a.Status)
-				}
-			}})
+			s.ask(n, id, j, true)
 		}
 	}
 	s.after(2*time.Second, func() { s.withdraw(id) })
@@ -155,6 +171,8 @@
 	s.late = 0
 	s.loss, s.dup, s.state.Down, s.cloud.Down = 0, 0, false, false
 	s.cut, s.alone, s.frozen = map[int]bool{}, map[int]bool{}, map[int]unit.Instant{}
+	s.refused, s.meshCut, s.lateWrites, s.slowState, s.slowLoads = map[int]bool{}, false, 0, 0, 0
+	s.mute, s.deaf = map[unit.MachineID]unit.Instant{}, map[unit.MachineID]unit.Instant{}
 	s.heal()
 	s.known()
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
--- a/internal/controller/sim_world_test.go
+++ b/internal/controller/sim_world_test.go
@@ -214,14 +214,18 @@
 		})
 		return
 	}
-	if !n.alive || s.cut[node] || s.lost() {
+	if !n.alive || s.cut[node] || s.now.Before(s.mute[w.ID]) || s.lost() {
 		return
 	}
 	s.after(s.latency(), func() {
 		if !n.alive {
 			return
 		}
-		s.step(n, Reported{Report: r, Ticket: func(a ReplyReport) {
+		var take func(a ReplyReport)
+		take = func(a ReplyReport) {
+			if s.relayed(n, r, a, take) {
+				return
+			}
 			s.after(s.latency(), func() {
 				if s.cut[node] || s.severed(n.zone, w.Zone) || answered || s.now.Before(s.hung[w.ID]) || s.now.Before(s.deaf[w.ID]) {
 					return
@@ -240,8 +244,32 @@
 					follow((node+1)%len(s.nodes), time.Second)
 				}
 			})
-		}})
+		}
+		s.step(n, Reported{Report: r, Ticket: take})
+	})
+}
+
+// relayed hands a report over the mesh to a leader that the workers can't reach,
+// as a node does with a worker that has come back from there in vain.
+func (s *sim) relayed(n *simNode, r *fleet.Report, a ReplyReport, take func(ReplyReport)) bool {
+	if a.Code != 421 || a.Final || a.Leader == "" || a.Leader == n.name {
+		return false
+	}
+	l := s.nodes[int(a.Leader[1]-'0')]
+	if !s.cut[l.index] || !s.meets(n, l) {
+		return false
+	}
+	s.after(s.latency(), func() {
+		if s.meets(n, l) {
+			s.step(l, Reported{Report: r, Via: n.name, Ticket: func(a ReplyReport) {
+				if a.Code != 200 {
+					a = ReplyReport{Code: 503}
+				}
+				take(a)
+			}})
+		}
 	})
+	return true
 }
 
 // grow gives the world about so many machines in the zones; nodes stand in the
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -53,6 +54,7 @@
 	nextSweep  unit.Instant
 	nextStuck  unit.Instant
 	waiting    map[unit.JobID][]waiter
+	parked     []parked
 	reach      reach
 	found      unit.Instant // when a machine that was silent for too long was last heard again
 	ledger     *vouch.Ledger
@@ -71,6 +73,15 @@
 // waitStored bounds how long a withdrawal waits for its checkpoint.
 const waitStored = 1500 * time.Millisecond
 
+// parked is a report that came before the records were read.
+type parked struct {
+	in    Reported
+	until unit.Instant
+}
+
+// parkFor bounds the wait for the records: a worker waits for its answer.
+const parkFor = 1500 * time.Millisecond
+
 func newTerm(c *Core, now unit.Instant, epoch unit.Epoch) *term {
 	t := &term{c: c, epoch: epoch, acquired: now, jobs: map[unit.JobID]*checkpoint.Job{},
 		specSize: map[unit.JobID]int{}, reading: map[unit.JobID]bool{},
@@ -119,6 +130,40 @@
 	for id := range t.waiting {
 		t.answerWaiters(id, intake.NoLeader, 0)
 	}
+	t.refuseParked(func(parked) bool { return true })
+}
+
+// park lets a report wait for the records. Without them nobody knows what must
+// end, and an answer without that order renews the lease of what a user was told
+// is withdrawn: leaders that came and went before they had read anything kept
+// such tasks running for as long as they did.
+func (t *term) park(now unit.Instant, in Reported) {
+	t.parked = append(t.parked, parked{in, now.Add(parkFor)})
+}
+
+// refuseParked refuses the parked reports that are due to be.
+func (t *term) refuseParked(due func(parked) bool) {
+	t.parked = slices.DeleteFunc(t.parked, func(p parked) bool {
+		if !due(p) {
+			return false
+		}
+		t.c.emit(ReplyReport{Ticket: p.in.Ticket, Code: http.StatusServiceUnavailable})
+		return true
+	})
+}
+
+// unpark takes in the reports that waited for the records.
+func (t *term) unpark(now unit.Instant) {
+	waited := t.parked
+	t.parked = nil
+	for _, p := range waited {
+		if t.c.term != t {
+			// One of them has shown a later leader.
+			t.c.emit(ReplyReport{Ticket: p.in.Ticket, Code: http.StatusServiceUnavailable})
+			continue
+		}
+		t.c.reported(now, p.in)
+	}
 }
 
 func (t *term) take(now unit.Instant, in Input) {
@@ -145,6 +190,7 @@
 // advance does whatever is due.
 func (t *term) advance(now unit.Instant) {
 	if !t.loaded {
+		t.refuseParked(func(p parked) bool { return !now.Before(p.until) })
 		return
 	}
 	t.sweep(now)
@@ -189,6 +235,7 @@
 		t.replay(now, r)
 	}
 	t.loaded, t.dirty = true, true
+	t.unpark(now)
 	t.c.log.Info("checkpoints read", "epoch", t.epoch, "jobs", len(t.jobs), "open_rounds", len(open))
 }
 
@@ -338,9 +385,7 @@
 		t.c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusServiceUnavailable})
 		return
 	case !t.loaded:
-		// Not knowing anything yet, we can at least keep the lease alive.
-		t.fleet.Ensure(now, in.Report.Machine).LastAnswer = now
-		t.c.emit(reply)
+		t.park(now, in)
 		return
 	}
 	if t.fleet.Gone(in.Report.Machine) {
@@ -499,6 +544,7 @@
 	if r, err := checkpoint.Decode(in.Item.Value); err == nil && r.Phase.Final() {
 		if !j.Phase.Final() {
 			j.Phase, j.Queue = r.Phase, nil
+			t.haltAll(now, j)
 		}
 		j.StoredPhase = r.Phase
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,7 @@
 	Since      unit.Instant // when this leader learned of it
 	Born       unit.Instant // about when it was rented
 	LastReport unit.Instant
+	LastBeat   unit.Instant // when it last reported by itself, not in answer to a command
 	LastAnswer unit.Instant // the latest that its lease may have been renewed
 	IdleSince  unit.Instant
 	NoticeAt   unit.Instant // when the cloud takes it; 0: no notice
@@ -262,13 +263,14 @@
 // Placeable tells whether the machine may get tasks.
 func (f *Fleet) Placeable(m *Machine) bool {
 	return m.Up && m.Vouched && m.unheard < maxUnheard && !m.Releasing && !m.Gone && !m.Failed && m.NoticeAt == 0 && !m.Drained && !m.Vacating &&
-		!m.strayRuns() && f.types[m.Type] != nil
+		!m.StrayRuns() && f.types[m.Type] != nil
 }
 
 // Quiet tells whether the machine has missed reports, so that a launch sent
-// to it would probably hang.
+// to it would probably hang. Answers to commands are no reports: a machine that
+// takes commands but reaches no node loses all it has with its lease.
 func (f *Fleet) Quiet(now unit.Instant, m *Machine) bool {
-	return now.Sub(m.LastReport) > 2*f.times.Report+f.times.Report/2
+	return now.Sub(m.LastBeat) > 2*f.times.Report+f.times.Report/2
 }
 
 // HasImage tells whether the image is known to be on the machine.
@@ -293,7 +295,7 @@
 }
 
 // Busy tells whether any placement may exist on the machine.
-func (m *Machine) Busy() bool { return m.live.Tasks > 0 || m.strayRuns() }
+func (m *Machine) Busy() bool { return m.live.Tasks > 0 || m.StrayRuns() }
 
 // Anchored tells whether a service runs on the machine, so that it won't be
 // returned soon anyway.
@@ -361,7 +363,7 @@
 		return Changes{Stale: true}
 	}
 	if answered {
-		m.LastAnswer = now
+		m.LastAnswer, m.LastBeat = now, now
 	} else {
 		m.Vouched = true
 	}
@@ -423,7 +425,7 @@
 		k := placeKey{e.Task, e.Attempt}
 		p := m.places[k]
 		if p == nil {
-			p = f.stray(now, m, k, e)
+			p = f.stray(now, m, k, e, r.Seal)
 		}
 		if p != nil {
 			seen[k] = true
@@ -440,15 +442,17 @@
 // stray takes in a task that no placement names, and makes one for it, so that
 // it counts like any other: what may run must not be started elsewhere. If the
 // job is not known, or the task has a placement already, the worker is told to
-// halt it and the machine gets nothing until it is gone.
-func (f *Fleet) stray(now unit.Instant, m *Machine, k placeKey, e Entry) *checkpoint.Placement {
+// halt it and the machine gets nothing until it is gone. Its launch was sent under
+// the seal that the worker had seen, at most: with this leader's own, a task that
+// only an old copy of a report named could not be proven gone, and waited on.
+func (f *Fleet) stray(now unit.Instant, m *Machine, k placeKey, e Entry, seal unit.Epoch) *checkpoint.Placement {
 	j := f.jobs(e.Task.Job)
 	if j == nil || int(e.Task.Index) >= j.Spec.Tasks || (e.State != stateExited && j.Live[e.Task.Index] != nil) {
 		m.strays[k] = e
 		return nil
 	}
 	p := &checkpoint.Placement{Job: j, Task: e.Task.Index, Machine: m.ID, Shift: m.Shift,
-		Attempt: e.Attempt, Seal: f.epoch, Since: now}
+		Attempt: e.Attempt, Seal: seal, Since: now}
 	if e.State == stateExited {
 		if e.Cause == CauseDone {
 			j.Complete(now, p.Task)
@@ -467,8 +471,8 @@
 	return p
 }
 
-// strayRuns tells whether a task that no placement names may run here.
-func (m *Machine) strayRuns() bool {
+// StrayRuns tells whether a task that no placement names may run here.
+func (m *Machine) StrayRuns() bool {
 	for _, e := range m.strays {
 		if e.State != stateExited {
 			return true
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -330,3 +330,38 @@
 		t.Error("never tried again")
 	}
 }
+
+// TestPhantomOfAnOldReport: a copy of a report of before the takeover names a
+// task that is long over. The next report, under this leader's seal, proves it
+// gone; with the leader's own seal on it, its task waited until the seal was
+// raised for something else.
+func TestPhantomOfAnOldReport(t *testing.T) {
+	r := newRig(1)
+	r.m.Tally = 0 // a leader that knows nothing newer
+	r.report(1, 1, epoch-3, entry(0, 5, stateRunning, ""))
+	if r.j.Live[0] == nil {
+		t.Fatal("what may run does not count")
+	}
+	r.report(1, 9, epoch-1)
+	r.report(1, 10, epoch)
+	if r.j.Live[0] != nil || !r.j.Queue.Has(0) {
+		t.Error("a task that no newer report names still counts")
+	}
+}
+
+// TestMuteMachineGetsNothing: a machine whose reports no longer come gets no
+// task, though it answers commands: its lease ends all the same.
+func TestMuteMachineGetsNothing(t *testing.T) {
+	r := newRig(1)
+	for range 4 {
+		r.now = r.now.Add(3 * time.Second)
+		r.f.Take(r.now, &Report{Machine: "host-1", Addr: "10.0.0.1:1", Type: "m", Zone: "a", Shift: 1, Tally: r.m.Tally + 1, Seal: epoch}, false)
+	}
+	if !r.f.Quiet(r.now, r.m) {
+		t.Error("a machine that only answers commands may get tasks")
+	}
+	r.report(1, r.m.Tally+1, epoch)
+	if r.f.Quiet(r.now, r.m) {
+		t.Error("a machine that reports again gets nothing")
+	}
+}
