--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -75,6 +75,7 @@
 	Avoid     map[unit.MachineID]unit.Instant
 	ByZone    map[unit.Zone]int // live placements
 	QueuedAt  unit.Instant      // since when tasks have been waiting
+	LastStart unit.Instant      // when a task was last placed
 	Known     unit.Instant      // when this leader learned of the job
 }
 
@@ -121,6 +122,7 @@
 	j.Queue.Remove(p.Task)
 	j.Live[p.Task] = p
 	j.ByZone[zone]++
+	j.LastStart = max(j.LastStart, p.Since)
 }
 
 // End takes a placement out that is surely over. With requeue its task waits
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -55,6 +55,9 @@
 	lateWrites float64                         // the share of transactions that are carried out late, without an answer
 	slowState  time.Duration                   // how long the state service takes at most
 	slowLoads  time.Duration                   // how long a new leader needs to read the records
+	troubled   bool                            // the troubles of the day go on
+	linkDelay  time.Duration                   // how much longer messages take, at most
+	atEnd      float64                         // the chance that a job is withdrawn as its last task ends
 	mute       map[unit.MachineID]unit.Instant // machines whose reports reach nobody, though commands reach them
 }
 
@@ -72,6 +75,10 @@
 	spec      checkpoint.Spec
 	run       time.Duration
 	submitted bool
+	apart     time.Duration // how much longer each task runs than the one before
+	waits     unit.Instant  // since when it waits though it could start; 0: it does not
+	seenStart int           // of its tasks, when last looked at
+	starts    int
 	cancelled unit.Instant // when its user was told
 	told      intake.Standing
 	heard     unit.Instant // when its user was last answered
@@ -151,8 +158,15 @@
 	s.after(d, func() { do(); s.every(d, do) })
 }
 
-func (s *sim) latency() time.Duration { return time.Duration(1+s.rng.IntN(15)) * time.Millisecond }
-func (s *sim) lost() bool             { return s.rng.Float64() < s.loss }
+func (s *sim) latency() time.Duration {
+	d := time.Duration(1+s.rng.IntN(15)) * time.Millisecond
+	if s.linkDelay > 0 {
+		d += time.Duration(s.rng.Int64N(int64(s.linkDelay)))
+	}
+	return d
+}
+
+func (s *sim) lost() bool { return s.rng.Float64() < s.loss }
 
 // run plays until d has passed.
 func (s *sim) run(d time.Duration) {
--- a/internal/controller/sim_users_test.go
+++ b/internal/controller/sim_users_test.go
@@ -19,10 +19,14 @@
 		if s.on[id] == w.ID {
 			delete(s.on, id)
 		}
+		if s.atEnd > 0 && s.rng.Float64() < s.atEnd && !s.anyOn(id.Job) {
+			s.after(time.Duration(s.rng.IntN(1000))*time.Millisecond, func() { s.withdraw(id.Job) })
+		}
 		return
 	}
 	s.starts++
 	j := s.jobs[id.Job]
+	j.starts++
 	if m, twice := s.on[id]; twice && m != w.ID {
 		s.t.Fatalf("ran_twice: %v on %s and %s", id, m, w.ID)
 	}
@@ -36,10 +40,8 @@
 		j.began = s.now
 	}
 	s.on[id], s.zones[id] = w.ID, w.Zone
-	used, here := map[unit.Team]float64{}, 0
+	used, here := s.usage(), 0
 	for task := range s.on {
-		o := s.jobs[task.Job]
-		used[o.spec.Team] += o.spec.CPUs
 		if task.Job != id.Job {
 			continue
 		}
@@ -59,6 +61,90 @@
 	}
 }
 
+func (s *sim) anyOn(id unit.JobID) bool {
+	for task := range s.on {
+		if task.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
+// mostWait is how long a job may wait, once all troubles are over, while a
+// machine that fits has room and its team is under its limit.
+const mostWait = 90 * time.Second
+
+// watchWaits checks each second that no job waits for too long.
+func (s *sim) watchWaits() {
+	var past []map[unit.Team]float64
+	s.every(time.Second, func() {
+		past = append(past, s.usage())
+		past = past[max(0, len(past)-lately):]
+		l := s.leader()
+		if l == nil || l.core.term == nil || !l.core.term.loaded {
+			return
+		}
+		for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+			j, known := s.jobs[id], l.core.term.jobs[id]
+			if known == nil || known.Phase.Final() || len(known.Queue) == 0 || j.starts != j.seenStart || !s.couldStart(l.core.term, known, past) {
+				j.waits, j.seenStart = 0, j.starts
+				continue
+			}
+			if j.waits == 0 {
+				j.waits = s.now
+			}
+			if s.now.Sub(j.waits) > mostWait {
+				s.t.Errorf("%s has waited for %v though it could start", id, s.now.Sub(j.waits))
+				j.waits = s.now
+			}
+		}
+	})
+}
+
+// lately, in seconds: a team whose tasks come and go at its limit is a little
+// below it at most moments, as ends are reported and images fetched.
+const lately = 8
+
+// usage is what the teams' tasks take of the machines.
+func (s *sim) usage() map[unit.Team]float64 {
+	used := map[unit.Team]float64{}
+	for task := range s.on {
+		spec := s.jobs[task.Job].spec
+		used[spec.Team] += spec.CPUs
+	}
+	return used
+}
+
+// couldStart tells whether a machine that fits has room for one more task of
+// the job, and its team is under its limit.
+func (s *sim) couldStart(t *term, j *checkpoint.Job, past []map[unit.Team]float64) bool {
+	most := t.teams[j.Spec.Team].CPUsMax
+	for _, used := range past {
+		if most > 0 && used[j.Spec.Team]+j.Spec.CPUs > most {
+			return false
+		}
+	}
+	here := map[unit.Zone]int{}
+	for task := range s.on {
+		if task.Job == j.ID {
+			here[s.zones[task]]++
+		}
+	}
+	for id, h := range s.cloud.Machines {
+		m := t.fleet.Machine(id)
+		if h.Worker == nil || h.Failed || m == nil || m.Releasing || s.now.Sub(m.Since) < mostWait {
+			continue
+		}
+		zone := h.Offer.Zone
+		if !j.Spec.Allows(h.Offer.Type, zone, h.Offer.Spot) || j.Spec.Spread && here[zone] >= j.Spec.ZoneCap() ||
+			j.Spec.OneZone && len(here) > 0 && here[zone] == 0 || !h.Worker.Free().Fits(j.Spec.Need()) {
+			continue
+		}
+		return true
+	}
+	return false
+}
+
 // submit stores a job as any node does, and tells the nodes.
 func (s *sim) submit(n int, spec checkpoint.Spec, run time.Duration) unit.JobID {
 	id := unit.JobID(fmt.Sprintf("wk-%06d", n))
@@ -174,6 +260,8 @@
 	s.refused, s.meshCut, s.lateWrites, s.slowState, s.slowLoads = map[int]bool{}, false, 0, 0, 0
 	s.mute, s.deaf = map[unit.MachineID]unit.Instant{}, map[unit.MachineID]unit.Instant{}
 	s.heal()
+	s.atEnd, s.linkDelay, s.troubled = 0, 0, false
+	s.watchWaits()
 	s.known()
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		if s.jobs[id].spec.Service {
--- a/internal/controller/sim_world_test.go
+++ b/internal/controller/sim_world_test.go
@@ -150,6 +150,10 @@
 			}
 			return &j.spec, j.run, true
 		}
+		w.Run = func(task unit.TaskID) time.Duration {
+			j := s.jobs[task.Job]
+			return j.run + time.Duration(task.Index)*j.apart
+		}
 		s.reportLoop(w, s.rng.IntN(len(s.nodes)))
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.cloud.Machines)) {
--- a/internal/round/patience.go
+++ b/internal/round/patience.go
@@ -30,6 +30,9 @@
 	// patient, in seconds: work with more patience than this does not use
 	// machines that only it would keep.
 	patient = 90
+	// stalled, in seconds: of what has waited so long without any start, tasks
+	// may go wherever they fit.
+	stalled = 60
 	// hopeful: the part of its estimate that work may take if all goes well.
 	hopeful = 0.6
 	// runs: how much longer than its estimate work is expected to run.
@@ -183,11 +186,19 @@
 	return best
 }
 
+// isStalled tells whether nothing of the job has been placed for long, though
+// tasks of it wait.
+func (p *planner) isStalled(j *checkpoint.Job) bool {
+	return p.w.Now.Sub(max(j.QueuedAt, j.LastStart)).Seconds() >= stalled
+}
+
 // mayUse tells whether the job may start on a machine that is up. Work that
 // can wait stays off dear machines, unless a service or a guarantee keeps them
-// anyway: it would keep them from being returned.
+// anyway: it would keep them from being returned. It does not wait for ever:
+// where no cheap machine is to be had, the rest of jobs that had begun waited
+// beside idle machines for good.
 func (p *planner) mayUse(j *checkpoint.Job, b *bin) bool {
-	if j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.guards {
+	if p.isStalled(j) || j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.guards {
 		return true
 	}
 	if p.patience(j) < patient && (p.first || !p.unexpecting(j)) {
@@ -199,7 +210,7 @@
 // onlyOne tells whether the bin may take but one task of the job, and none if
 // the plan has started some already.
 func (p *planner) onlyOne(j *checkpoint.Job, b *bin) bool {
-	return p.needsOnlyBegin(j) && !p.guards && !b.m.Anchored() && !p.isCheap(j, b.typ, b.spot)
+	return p.needsOnlyBegin(j) && !p.isStalled(j) && !p.guards && !b.m.Anchored() && !p.isCheap(j, b.typ, b.spot)
 }
 
 func taskPrice(j *checkpoint.Job, t *fleet.Type, spot bool) float64 {
--- a/internal/round/preempt.go
+++ b/internal/round/preempt.go
@@ -33,7 +33,9 @@
 	borrowed := p.mayTakeBack(j)
 	p.plan.Work += len(p.bins)
 	for _, b := range p.bins {
-		if !b.yields(j, borrowed) || !p.allowed(j, b) || p.zoneRoom(j, b.zone) == 0 || holders && !b.m.HasImage(j.Spec.Image) {
+		// On a dear machine that the job may not use, what is free was promised to
+		// it in each plan, never used, and kept from those that could.
+		if !b.yields(j, borrowed) || !p.allowed(j, b) || !p.mayUse(j, b) || p.zoneRoom(j, b.zone) == 0 || holders && !b.m.HasImage(j.Spec.Image) {
 			continue
 		}
 		if s, ok := p.spotAt(j, b); ok {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -32,6 +32,8 @@
 	done     map[unit.TaskID]bool
 	// Spec tells what a job is; ok is false for one not submitted.
 	Spec func(unit.JobID) (spec *checkpoint.Spec, run time.Duration, ok bool)
+	// Run, if set, is how long a task runs; else all of a job run as Spec says.
+	Run func(unit.TaskID) time.Duration
 	// Fetch is how long an image takes.
 	Fetch time.Duration
 	// Seen is told of each task that comes to be on the machine, or leaves it.
@@ -147,13 +149,16 @@
 func (w *Worker) launch(now unit.Instant, o fleet.Order) {
 	t := &Task{Attempt: o.Attempt, State: fetching, Ready: now.Add(w.Fetch)}
 	spec, run, ok := w.Spec(o.Task.Job)
+	if w.Run != nil && run > 0 {
+		run = w.Run(o.Task)
+	}
 	refuse := func(c fleet.Cause) { t.State, t.Cause = exited, c }
 	switch {
 	case !ok:
 		refuse(fleet.CauseUnknown)
 	case w.active(o.Task):
 		refuse(fleet.CauseBusy)
-	case !w.free().Fits(spec.Need()):
+	case !w.Free().Fits(spec.Need()):
 		refuse(fleet.CauseNoRoom)
 	case run > 0:
 		t.Ends = t.Ready.Add(run)
@@ -173,7 +178,8 @@
 	return false
 }
 
-func (w *Worker) free() checkpoint.Resources {
+// Free is what no task takes of the machine.
+func (w *Worker) Free() checkpoint.Resources {
 	free := w.Type.Capacity
 	for id, attempts := range w.Tasks {
 		for _, t := range attempts {
