Let old and new versions serve side by side; records in parts under lower limits

internal/rollout owns which form of records may be used: nodes say with each grant, and in each batch through the state service, what they can; the leader stores the agreement once all have said so. Until then all that is stored is what the production version writes, shown byte by byte with records that it made. After it rounds keep to the smaller limits, and a job's record that does not fit is compressed and continues in numbered parts, in the same transaction. A refusal of what is beyond the later limits shows that they have come, and so that the upgrade is over.

--- a/internal/checkpoint/checkpoint_test.go
+++ b/internal/checkpoint/checkpoint_test.go
@@ -100,7 +100,7 @@
 		}
 		live := map[unit.TaskIndex]*Placement{}
 		for round := range 60 {
-			for room := j.Room(limit, len(spec)); len(j.Queue) > 0; {
+			for room := j.Room(limit, 1, len(spec)); len(j.Queue) > 0; {
 				m := unit.MachineID(fmt.Sprintf("host-%06d", next(machines)))
 				n := j.Fit(room, m, min(1+next(9), j.Queue.Len()))
 				if n == 0 {
--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -219,7 +219,7 @@
 // Record is the checkpoint of the job as it stands. Placements that a round
 // under way proposes are not in it: they come to the job with that round.
 func (j *Job) Record(epoch unit.Epoch) *Record {
-	r := &Record{Schema: Schema, Spec: j.Spec, Accepted: j.Accepted, Phase: j.Phase,
+	r := &Record{Schema: schemaPlain, Spec: j.Spec, Accepted: j.Accepted, Phase: j.Phase,
 		Epoch: epoch, Round: j.Round, Done: j.Done.Clone(), Live: j.groups()}
 	switch {
 	case j.Phase.Final() && len(r.Live) > 0:
@@ -277,10 +277,11 @@
 type Room int
 
 // Room tells how much may be added to the tasks under way so that the record
-// stays below limit bytes whatever order they end in. Every task under way is,
-// at any later time, at most one span of its group or of the done ranges.
-func (j *Job) Room(limit, specSize int) Room {
-	room := Room((limit-specSize-recordSize)*3/4 - j.Done.PackedSize() - 5)
+// stays below limit bytes in each of its parts, whatever order they end in.
+// Every task under way is, at any later time, at most one span of its group or
+// of the done ranges.
+func (j *Job) Room(limit, parts, specSize int) Room {
+	room := Room(Capacity(limit, parts, specSize)*3/4 - j.Done.PackedSize() - 5)
 	seen := map[groupKey]bool{}
 	for _, p := range j.Live {
 		if k := p.group(); !seen[k] {
--- /dev/null
+++ b/internal/checkpoint/parts_test.go
@@ -0,0 +1,178 @@
+package checkpoint
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"badgerbay/internal/unit"
+)
+
+// jsonLen measures a value as the state service does: in JSON.
+func jsonLen(v any) int {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return 1 << 20
+	}
+	return len(data)
+}
+
+func stored(t interface{ Fatal(...any) }, v any) []byte {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// large is a record of a job with n tasks under way, each group on a machine of
+// its own with nothing in common with the others.
+func large(n int) *Record {
+	r := NewRecord(Spec{Class: "c", Team: "t", Tasks: 4 * n, CPUs: 1, Image: "i"}, 7)
+	for i := range n {
+		at := unit.TaskIndex(4 * i)
+		r.Done.Add(at)
+		r.Live = append(r.Live, Group{Machine: unit.MachineID(fmt.Sprintf("host-%06d", i*7919%1_000_000)), Shift: unit.Shift(i%9 + 1),
+			Attempt: unit.Attempt(1000 + i*31%977), Tasks: unit.Ranges{{First: at + 1, Last: at + 1}, {First: at + 3, Last: at + 3}}})
+	}
+	return r
+}
+
+// TestPartsHoldWhatAValueDoesNot: a record of any size within Capacity is split
+// so that no value is too large, and read back whole; alone it tells what a poll
+// needs.
+func TestPartsHoldWhatAValueDoesNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := large(rapid.IntRange(1, 250).Draw(t, "groups"))
+		limit, most := rapid.SampledFrom([]int{2048, 8192}).Draw(t, "limit"), rapid.IntRange(2, 5).Draw(t, "parts")
+		main, parts, err := r.Split(limit, most, jsonLen)
+		if errors.Is(err, ErrTooLarge) {
+			return
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		values := map[int][]byte{}
+		for i, p := range parts {
+			values[i+1] = stored(t, p)
+			if n := jsonLen(p); n > limit {
+				t.Fatalf("part of %d bytes, %d allowed", n, limit)
+			}
+		}
+		if n := jsonLen(main); n > limit || len(parts) >= most {
+			t.Fatalf("%d parts, the record takes %d of %d", len(parts), n, limit)
+		}
+		data := stored(t, main)
+		back, err := DecodeWhole(data, func(n int) []byte { return values[n] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := fmt.Sprint(back.Done, back.Live), fmt.Sprint(r.Done, r.Live); got != want {
+			t.Fatalf("read back %s, want %s", got, want)
+		}
+		if head, err := Decode(data); err != nil || head.Overflow != nil && (head.Overflow.Done != r.Done.Len() || head.Overflow.Live != r.running()) {
+			t.Fatalf("alone it says %+v, %v", head.Overflow, err)
+		}
+	})
+}
+
+// TestRoomIsKeptInParts: a job that is filled to its room stays storable.
+func TestRoomIsKeptInParts(t *testing.T) {
+	const limit, most = 2048, 4
+	r := NewRecord(Spec{Class: "c", Team: "t", Tasks: 500, CPUs: 1, Image: "i"}, 7)
+	j := NewJob("wk-000001", r, 1, 0)
+	spec := jsonLen(&r.Spec)
+	for i := 0; len(j.Queue) > 0; i++ {
+		m := unit.MachineID(fmt.Sprintf("host-%06d", i*7919%1_000_000))
+		if j.Fit(j.Room(limit, most, spec), m, 1) == 0 {
+			break
+		}
+		j.Start(&Placement{Job: j, Task: j.Queue[0].First, Machine: m, Shift: 3, Attempt: unit.Attempt(5000 + i)}, "a")
+	}
+	if len(j.Live) < 120 {
+		t.Errorf("only %d tasks under way", len(j.Live))
+	}
+	for i := unit.TaskIndex(0); i < 500; i += 2 {
+		j.Complete(0, i)
+	}
+	if _, _, err := j.Record(9).Split(limit, most, jsonLen); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestTornParts: parts that are missing, of another time, cut or more than a
+// record may claim are refused, and nothing panics.
+func TestTornParts(t *testing.T) {
+	main, parts, err := large(900).Split(2048, 30, jsonLen)
+	if err != nil || len(parts) < 2 {
+		t.Fatalf("%d parts, %v", len(parts), err)
+	}
+	whole := func(n int) []byte { return stored(t, parts[n-1]) }
+	for what, part := range map[string]func(int) []byte{
+		"missing": func(int) []byte { return nil },
+		"swapped": func(n int) []byte { return whole(len(parts) + 1 - n) },
+		"cut": func(n int) []byte {
+			p := *parts[n-1]
+			p.Packed = p.Packed[:len(p.Packed)/2]
+			return stored(t, &p)
+		},
+		"older": func(n int) []byte {
+			p := *parts[n-1]
+			p.Sum++
+			return stored(t, &p)
+		},
+	} {
+		if _, err := DecodeWhole(stored(t, main), part); !errors.Is(err, ErrParts) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	odd := *main
+	odd.Overflow = &Overflow{Parts: 1 << 30, Sum: main.Overflow.Sum}
+	if _, err := DecodeWhole(stored(t, &odd), whole); !errors.Is(err, ErrParts) {
+		t.Errorf("a record that claims 2^30 parts: %v", err)
+	}
+	if n := Parts(stored(t, &odd)); n > maxParts {
+		t.Errorf("%d parts would be read", n)
+	}
+	odd.Overflow = nil
+	if _, err := Decode(stored(t, &odd)); err == nil {
+		t.Error("a record of the later schema without parts was taken")
+	}
+}
+
+// TestRecordsOfTheVersionBefore: what the production version has stored is read,
+// rewritten byte by byte while that version may serve, and rewritten within the
+// smaller limits once it does not.
+func TestRecordsOfTheVersionBefore(t *testing.T) {
+	for name, most := range map[string]int{"job-8k": 4, "job-16k": 5} {
+		data, err := os.ReadFile("testdata/production/" + name + ".msgpack")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.running() < 150 || r.Done.Len() != 20 || r.Round != 4500 {
+			t.Errorf("%s: %d tasks under way, %d done, round %d", name, r.running(), r.Done.Len(), r.Round)
+		}
+		plain, parts, err := r.Split(16<<10, 1, jsonLen)
+		if err != nil || len(parts) > 0 || !bytes.Equal(stored(t, plain), data) {
+			t.Errorf("%s: not written as it was read: %d parts, %v", name, len(parts), err)
+		}
+		small, rest, err := r.Split(2048, most, jsonLen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := DecodeWhole(stored(t, small), func(n int) []byte { return stored(t, rest[n-1]) })
+		if err != nil || fmt.Sprint(back.Live, back.Done) != fmt.Sprint(r.Live, r.Done) {
+			t.Errorf("%s: not the same in %d parts: %v", name, len(rest)+1, err)
+		}
+	}
+}
--- a/internal/checkpoint/record.go
+++ b/internal/checkpoint/record.go
@@ -16,8 +16,12 @@
 // Schema is the version of Record. A reader refuses a record of a later
 // schema rather than guess what it means; see docs/operations.md. Up to
 // schema 1 the done ranges and the placements were lists; since 2 they are
-// packed, and lists are still read.
-const Schema = 2
+// packed, and lists are still read. Schema 3 is that of a record that is
+// compressed and may continue in parts.
+const Schema = 3
+
+// schemaPlain is what is written wherever it fits: the version before reads it.
+const schemaPlain = 2
 
 // Phase of a job. Done and Cancelled are final.
 type Phase string
@@ -63,6 +67,9 @@
 	Live     wire.List[Group] `msgpack:"l,omitempty" json:"-"`
 	Packed   wire.Packed      `msgpack:"pk,omitempty" json:"pk,omitempty"`
 	Next     Action           `msgpack:"nx" json:"nx"`
+	// Overflow is set in a record that is compressed and may have parts. One
+	// that Decode returns with it lacks the done ranges and the placements.
+	Overflow *Overflow `msgpack:"ov,omitempty" json:"ov,omitempty"`
 }
 
 // Encode returns the record as it is stored.
@@ -140,24 +147,35 @@
 	if r.Schema > Schema {
 		return nil, fmt.Errorf("%w: %d, this program knows %d", ErrSchema, r.Schema, Schema)
 	}
+	if (r.Schema > schemaPlain) != (r.Overflow != nil) {
+		return nil, errors.New("job record whose schema and parts differ")
+	}
+	if r.Overflow != nil {
+		return r, r.check()
+	}
 	if r.Packed != "" {
 		if err := r.Packed.Unpack(r.unpack); err != nil {
 			return nil, fmt.Errorf("job record: %w", err)
 		}
 		r.Packed = ""
 	}
+	return r, r.check()
+}
+
+// check refuses what no program writes.
+func (r *Record) check() error {
 	if r.Spec.Tasks < 1 || !r.Done.Valid(r.Spec.Tasks) {
-		return nil, errors.New("job record holds impossible ranges")
+		return errors.New("job record holds impossible ranges")
 	}
 	for _, g := range r.Live {
 		if !g.Tasks.Valid(r.Spec.Tasks) {
-			return nil, errors.New("job record holds an impossible placement")
+			return errors.New("job record holds an impossible placement")
 		}
 	}
-	return r, nil
+	return nil
 }
 
 // NewRecord is the record of a job just accepted.
 func NewRecord(spec Spec, acceptedMs int64) *Record {
-	return &Record{Schema: Schema, Spec: spec, Accepted: acceptedMs, Phase: Active, Next: Place}
+	return &Record{Schema: schemaPlain, Spec: spec, Accepted: acceptedMs, Phase: Active, Next: Place}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -73,9 +73,11 @@
 
 // Workers hold the times that workers keep to.
 type Workers struct {
-	ReportS float64 `json:"report_s"`
-	LeaseS  float64 `json:"lease_s"`
-	CancelS float64 `json:"cancel_s"`
+	ReportS   float64 `json:"report_s"`
+	LeaseS    float64 `json:"lease_s"`
+	CancelS   float64 `json:"cancel_s"`
+	GangWaitS float64 `json:"gang_wait_s"` // 0: not given
+	GangPeerS float64 `json:"gang_peer_s"`
 }
 
 // State holds the limits of the state service.
@@ -84,6 +86,24 @@
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
+	// Next holds the limits that it will have from some moment on, once all
+	// nodes have the version that knows them.
+	Next *StateLimits `json:"next"`
+}
+
+// StateLimits are limits of the state service that change.
+type StateLimits struct {
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// Tight returns the limits that hold now and later: the smaller of each.
+func (s State) Tight() State {
+	if n := s.Next; n != nil {
+		s.WriteRPS, s.ValueKB, s.TxnOps = min(s.WriteRPS, n.WriteRPS), min(s.ValueKB, n.ValueKB), min(s.TxnOps, n.TxnOps)
+	}
+	return s
 }
 
 // Cloud holds the limits of the cloud's interface.
@@ -108,6 +128,15 @@
 	return out
 }
 
+// PeerLabels lists the names of the other nodes.
+func (s *Settings) PeerLabels() []string {
+	out := make([]string, 0, len(s.Peers))
+	for _, p := range s.Peers {
+		out = append(out, p.Label)
+	}
+	return out
+}
+
 // ReportInterval is the nominal time between two reports of a worker.
 func (w Workers) ReportInterval() time.Duration { return unit.Seconds(w.ReportS) }
 
@@ -262,6 +291,25 @@
 	value float64
 }
 
+// leastValueKB holds the record of any job, with a part of its tasks.
+const leastValueKB = 1
+
+// checkNext checks the limits to come.
+func (s State) checkNext() error {
+	if s.Next == nil {
+		return nil
+	}
+	for _, n := range []number{{"write_rps", s.Next.WriteRPS}, {"value_kb", s.Next.ValueKB}, {"txn_ops", float64(s.Next.TxnOps)}} {
+		if !(n.value > 0) || math.IsInf(n.value, 0) {
+			return wrong("params.state.next."+n.field, "%v is not a number above 0", n.value)
+		}
+	}
+	if s.Next.ValueKB < leastValueKB {
+		return wrong("params.state.next.value_kb", "%v holds no job: at least %d", s.Next.ValueKB, leastValueKB)
+	}
+	return nil
+}
+
 func (p *Params) checkNumbers() error {
 	for _, n := range []number{
 		{"workers.report_s", p.Workers.ReportS}, {"workers.lease_s", p.Workers.LeaseS},
@@ -275,6 +323,14 @@
 			return wrong("params."+n.field, "%v is not a number above 0", n.value)
 		}
 	}
+	for _, n := range []number{{"workers.gang_wait_s", p.Workers.GangWaitS}, {"workers.gang_peer_s", p.Workers.GangPeerS}} {
+		if !(n.value >= 0) || math.IsInf(n.value, 0) {
+			return wrong("params."+n.field, "%v is not a duration", n.value)
+		}
+	}
+	if err := p.State.checkNext(); err != nil {
+		return err
+	}
 	if p.Workers.LeaseS <= 2*p.Workers.ReportS {
 		return wrong("params.workers.lease_s", "%v leaves no room for a lost report (report_s %v)", p.Workers.LeaseS, p.Workers.ReportS)
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -154,6 +154,7 @@
 		c.keeper.Take(in.Sent, in.Said)
 		if c.term != nil {
 			c.term.ledger.Attest(in.Node, in.Sent, now, in.Said.Quiet)
+			c.term.cluster.Said(now, in.Node, in.Form)
 		}
 	case FlavorsDone:
 		c.flavors(in)
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -11,9 +11,11 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/rental"
+	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
@@ -179,15 +181,22 @@
 
 func (n *Node) loadAll(ctx context.Context, epoch unit.Epoch) {
 	jobs, since, err := n.store.List(ctx, checkpoint.KeyPrefix)
-	var rounds []statestore.Item
+	var rounds, parts []statestore.Item
+	var agreed statestore.Item
 	if n.note(err) == nil {
 		rounds, _, err = n.store.List(ctx, round.KeyPrefix)
 	}
+	if n.note(err) == nil {
+		parts, _, err = n.store.List(ctx, checkpoint.PartPrefix)
+	}
+	if n.note(err) == nil {
+		agreed, err = n.store.Get(ctx, rollout.Key)
+	}
 	if n.note(err) != nil {
 		n.log.Warn("records can't be read", "epoch", epoch, "err", err)
 		n.pause(ctx, retryUnsure)
 	}
-	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Jobs: jobs, Rounds: rounds})
+	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Jobs: jobs, Rounds: rounds, Parts: parts, Agreed: agreed})
 	if err == nil {
 		go n.relayDown(ctx, epoch, since)
 		n.watchJobs(ctx, epoch, since)
@@ -239,7 +248,13 @@
 
 func (n *Node) readJob(ctx context.Context, id unit.JobID) {
 	item, err := n.store.Get(ctx, checkpoint.Key(id))
-	n.post(ctx, JobRead{Job: id, OK: n.note(err) == nil, Item: item})
+	parts := map[int][]byte{}
+	for k := 1; err == nil && k <= checkpoint.Parts(item.Value); k++ {
+		var part statestore.Item
+		part, err = n.store.Get(ctx, checkpoint.PartKey(id, k))
+		parts[k] = part.Value
+	}
+	n.post(ctx, JobRead{Job: id, OK: n.note(err) == nil, Item: item, Parts: parts})
 }
 
 // commit applies a transaction of the leader and finds out what became of it.
@@ -263,13 +278,25 @@
 			}
 			continue
 		case errors.Is(err, statestore.ErrMalformed):
-			n.log.Error("transaction refused", "epoch", c.Epoch, "err", err)
+			done.TooLarge = beyond(c.Txn, n.set.Params.State.Tight())
+			n.met.TooLarge.Inc()
+			n.log.Error("transaction refused", "epoch", c.Epoch, "writes", len(c.Txn.Writes), "beyond_next", done.TooLarge, "err", err)
 		}
 		n.post(ctx, done)
 		return
 	}
 }
 
+// beyond tells whether a transaction is larger than the limits allow.
+func beyond(t statestore.Txn, limits config.State) bool {
+	for _, w := range t.Writes {
+		if statestore.JSONSize(w.Value) > limits.ValueBytes() {
+			return true
+		}
+	}
+	return len(t.Writes) > limits.TxnOps
+}
+
 // settle judges a conflict. If the leader guard failed, this node is deposed.
 // After an unanswered try, a key that has moved on was moved by that try: only
 // the leader of this epoch changes these keys.
@@ -414,7 +441,7 @@
 func (n *Node) keepFlavors(ctx context.Context, types []*fleet.Type) {
 	epoch := n.view.Load().epoch
 	value := rental.EncodeTypes(types)
-	if epoch == 0 || n.kept.Load() || statestore.JSONSize(value) > n.set.Params.State.ValueBytes() ||
+	if epoch == 0 || n.kept.Load() || statestore.JSONSize(value) > n.set.Params.State.Tight().ValueBytes() ||
 		!n.budget.TakeWrites(n.clock.Now(), statestore.UseFold, 1) {
 		return
 	}
--- a/internal/controller/folds.go
+++ b/internal/controller/folds.go
@@ -41,7 +41,9 @@
 	if len(urgent) > 0 {
 		use, batch = statestore.UseUrgentFold, urgent
 	}
-	n := min(len(batch), t.c.budget.WritesFor(now, use), t.c.set.Params.State.TxnOps, maxUrgent)
+	limits := t.limits()
+	may := t.c.budget.WritesFor(now, use)
+	n := min(len(batch), may, limits.TxnOps, maxUrgent)
 	if n <= 0 {
 		return
 	}
@@ -49,25 +51,29 @@
 	txn := statestore.Txn{Guards: []statestore.Guard{t.leaderGuard()}}
 	size := 0
 	for _, j := range batch[:n] {
-		rec, err := j.Record(t.epoch).Encode()
+		rec, parts, err := j.Record(t.epoch).Split(limits.ValueBytes(), t.parts(), statestore.JSONSize)
 		if err != nil {
+			t.c.met.TooLarge.Inc()
 			t.c.log.Error("checkpoint can't be written", "job", j.ID, "err", err, "epoch", t.epoch)
 			continue
 		}
 		size += statestore.JSONSize(rec)
-		if size > maxTxn && len(f.jobs) > 0 {
+		if len(f.jobs) > 0 && (size > maxTxn || len(txn.Writes)+1+len(parts) > min(may, limits.TxnOps)) {
 			break
 		}
 		key := checkpoint.Key(j.ID)
 		txn.Guards = append(txn.Guards, statestore.Guard{Key: key, Stamp: j.Version})
 		txn.Writes = append(txn.Writes, statestore.Write{Set: key, Value: rec})
+		for i, part := range parts {
+			txn.Writes = append(txn.Writes, statestore.Write{Set: checkpoint.PartKey(j.ID, i+1), Value: part})
+		}
 		f.jobs = append(f.jobs, foldedJob{j, j.Seq, rec.Round, rec.Phase})
 		j.Writing = true
 	}
 	if len(f.jobs) == 0 {
 		return
 	}
-	t.c.budget.TakeWrites(now, use, len(f.jobs))
+	t.c.budget.Spend(now, len(txn.Writes))
 	t.fold = f
 	t.c.emit(Commit{Kind: CommitFold, Epoch: t.epoch, Txn: txn})
 }
--- /dev/null
+++ b/internal/controller/forms.go
@@ -0,0 +1,60 @@
+package controller
+
+import (
+	"badgerbay/internal/config"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/rollout"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// limits are those of the state service that this term's writes keep to. The
+// later ones hold from some moment after all nodes have the version that knows
+// them; until then records are those that the version before reads and keeps.
+func (t *term) limits() config.State {
+	if t.cluster.Form() < rollout.Parts {
+		return t.c.set.Params.State
+	}
+	return t.c.set.Params.State.Tight()
+}
+
+// parts is how many values a job's record may take: as many as one transaction
+// holds, once all nodes can read parts.
+func (t *term) parts() int {
+	if t.cluster.Form() < rollout.Parts {
+		return 1
+	}
+	return t.limits().TxnOps
+}
+
+// maybeAgree stores that all nodes have this version, once they have said so.
+func (t *term) maybeAgree(now unit.Instant) {
+	t.c.met.NodesBehind.Set(float64(t.cluster.Behind(now)))
+	if t.c.lead.Sealing() || !t.cluster.Due(now) {
+		return
+	}
+	t.c.budget.TakeWrites(now, statestore.UseLead, 1)
+	t.c.emit(Commit{Kind: CommitForm, Epoch: t.epoch, Txn: statestore.Txn{
+		Guards: []statestore.Guard{t.leaderGuard(), {Key: rollout.Key, Stamp: t.formStamp}},
+		Writes: []statestore.Write{{Set: rollout.Key, Value: rollout.Agreed{Form: rollout.Newest}}},
+	}})
+}
+
+func (t *term) formCommitted(_ unit.Instant, in Committed) {
+	stored := in.Outcome == leadership.OK
+	t.cluster.Settle(stored)
+	if stored {
+		t.formStamp = in.Version
+		t.c.log.Info("all nodes have this version", "form", t.cluster.Form(), "epoch", t.epoch)
+	}
+}
+
+// lowered takes in that the state service has refused what is beyond its later
+// limits. They come only after the upgrade, so all nodes have this version, even
+// if one of them is out of reach and can't say so.
+func (t *term) lowered() {
+	if t.cluster.Form() < rollout.Parts {
+		t.c.log.Info("the state service keeps to its later limits", "epoch", t.epoch)
+	}
+	t.cluster.Lowered()
+}
--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	n.post(ctx, PeerSaid{Node: name, Sent: sent, Said: said})
+	n.post(ctx, PeerSaid{Node: name, Sent: sent, Said: said, Form: a.Vouch.Form})
 	return nil
 }
 
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -8,6 +8,7 @@
 	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/rental"
+	"badgerbay/internal/rollout"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/vouch"
@@ -30,12 +31,16 @@
 		Epoch        unit.Epoch
 		OK           bool
 		Jobs, Rounds []statestore.Item
+		Parts        []statestore.Item // of job records
+		Agreed       statestore.Item   // the form of records that was agreed on
 	}
 	// JobRead answers ReadJob.
 	JobRead struct {
 		Job  unit.JobID
 		OK   bool
 		Item statestore.Item
+		// Parts are those of the record, read in one go with it.
+		Parts map[int][]byte
 	}
 	// Committed answers Commit.
 	Committed struct {
@@ -44,6 +49,8 @@
 		Outcome leadership.Outcome
 		Version unit.Version
 		Failed  []string
+		// TooLarge: it was refused, and is beyond the limits to come.
+		TooLarge bool
 	}
 	// Reported is a worker's report.
 	Reported struct {
@@ -98,6 +105,7 @@
 		Node string
 		Sent unit.Instant
 		Said vouch.Said
+		Form rollout.Form // what that node can; 0: it does not say
 	}
 	// Isolated says what this node is cut off from.
 	Isolated struct{ From vouch.Isolation }
@@ -133,6 +141,7 @@
 const (
 	CommitRound CommitKind = iota
 	CommitFold
+	CommitForm
 )
 
 // Effect is what the core asks for.
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -25,6 +25,8 @@
 	Kept          prometheus.Counter
 	Stood         prometheus.Counter
 	BadBatches    prometheus.Counter
+	TooLarge      prometheus.Counter
+	NodesBehind   prometheus.Gauge
 	Submissions   *prometheus.CounterVec
 	Reports       *prometheus.CounterVec
 	CheckpointAge prometheus.Gauge
@@ -65,6 +67,8 @@
 	m.Throttled = counter("throttled_total", "Requests that the state service or the cloud throttled.")
 	m.Uncertain = counter("uncertain_operations_total", "Requests whose outcome had to be read back.")
 	m.BadBatches = counter("bad_batches_total", "Batches of other nodes, and answers to ours, that could not be read.")
+	m.TooLarge = counter("too_large_total", "Records and transactions that were too large for the state service.")
+	m.NodesBehind = gauge("nodes_behind", "Nodes that have not said lately that they have this version; at a leader.")
 	m.Stood = counter("stood_still_total", "Times this node took no step for half a second or more.")
 	m.Kept = counter("kept_reports_total", "Reports answered by a grant while this node was cut off.")
 	m.Relayed = counter("relayed_reports_total", "Reports of cut-off workers answered through the state service.")
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -75,7 +75,7 @@
 	p := set.Params
 	clock := unit.NewSystemClock()
 	n := &Node{set: set, pol: pol, log: log, met: NewMetrics(), teams: p.TeamsByName(), clock: clock, peers: peers,
-		budget: statestore.NewBudget(len(set.Peers)+1, p.State.RPS, p.State.WriteRPS),
+		budget: statestore.NewBudget(len(set.Peers)+1, p.State.RPS, p.State.Tight().WriteRPS),
 		store:  statestore.NewClient(set.External.State, transport(16)),
 		cloud:  rental.NewCloud(set.External.Cloud, transport(4)),
 		worker: &http.Client{Transport: workerTransport(sockets(set, idleShare)), Timeout: doTimeout},
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -16,6 +16,7 @@
 	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/mesh"
+	"badgerbay/internal/rollout"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/vouch"
@@ -31,10 +32,12 @@
 	tryLeader = 45 * time.Second
 	// relayEvery is the least time between two batches through the state
 	// service; relayWait bounds the wait for the answers to one.
-	relayEvery   = 500 * time.Millisecond
-	relayWait    = 2 * time.Second
-	relayGather  = 400 * time.Millisecond
-	relayQueue   = 512
+	relayEvery  = 500 * time.Millisecond
+	relayWait   = 2 * time.Second
+	relayGather = 400 * time.Millisecond
+	relayQueue  = 512
+	// answerMargin is left free of a value by batches and answers: one eighth at
+	// most.
 	answerMargin = 1024
 )
 
@@ -197,7 +200,7 @@
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b relayItem) int { return cmp.Compare(a.kind(), b.kind()) })
-	limit := n.set.Params.State.ValueBytes() - answerMargin
+	limit := n.relayRoom()
 	for count := len(waiting); count > 0; {
 		value, err := wire.Squeeze(n.batchOf(id, echo, waiting[:count]))
 		switch {
@@ -214,9 +217,16 @@
 	return "", nil, nil
 }
 
+// relayRoom is how large a batch or its answers may be: below the limits of the
+// state service that hold now, and below those to come.
+func (n *Node) relayRoom() int {
+	v := n.set.Params.State.Tight().ValueBytes()
+	return v - min(answerMargin, v/8)
+}
+
 func (n *Node) batchOf(id, echo string, items []relayItem) *mesh.Batch {
 	quiet := n.clock.Now().Sub(unit.Instant(n.quietSince.Load()))
-	b := &mesh.Batch{ID: id, Node: n.set.Label, Echo: echo, QuietMs: quiet.Milliseconds()}
+	b := &mesh.Batch{ID: id, Node: n.set.Label, Echo: echo, QuietMs: quiet.Milliseconds(), Form: rollout.Newest}
 	for _, item := range items {
 		if item.report != nil {
 			b.Reports = append(b.Reports, mesh.Pack(item.report))
@@ -347,7 +357,8 @@
 // from when these left; a batch itself may be long on its way.
 func (n *Node) attest(ctx context.Context, answered answeredBatches, b *mesh.Batch) {
 	if last := answered[b.Node]; b.Echo != "" && last.id == b.Echo && b.QuietMs >= 0 && b.QuietMs < mostQuietMs {
-		n.post(ctx, PeerSaid{Node: b.Node, Sent: last.at, Said: vouch.Said{Quiet: time.Duration(b.QuietMs) * time.Millisecond}})
+		n.post(ctx, PeerSaid{Node: b.Node, Sent: last.at,
+			Said: vouch.Said{Quiet: time.Duration(b.QuietMs) * time.Millisecond}, Form: b.Form})
 	}
 }
 
@@ -365,7 +376,7 @@
 	n.attest(ctx, answered, b)
 	answers := n.serveBatch(ctx, b)
 	value, err := wire.Squeeze(answers)
-	for err == nil && len(answers.Reports) > 0 && len(value) > n.set.Params.State.ValueBytes()-answerMargin {
+	for err == nil && len(answers.Reports) > 0 && len(value) > n.relayRoom() {
 		// What does not fit is answered by the next batch.
 		answers.Reports = answers.Reports[:len(answers.Reports)/2]
 		value, err = wire.Squeeze(answers)
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -98,7 +98,7 @@
 			return true
 		})
 	}
-	r.Releases = t.releasable(now, plan.Keep, t.c.set.Params.State.ValueBytes()-r.SizeOf())
+	r.Releases = t.releasable(now, plan.Keep, t.limits().ValueBytes()-r.SizeOf())
 	if r.Empty() {
 		return
 	}
@@ -146,10 +146,16 @@
 		t.c.leadStep(now, leadership.Deposed{})
 		return
 	}
-	if in.Kind == CommitRound {
+	if in.TooLarge {
+		t.lowered()
+	}
+	switch in.Kind {
+	case CommitRound:
 		t.roundCommitted(now, in)
-	} else {
+	case CommitFold:
 		t.foldCommitted(now, in)
+	case CommitForm:
+		t.formCommitted(now, in)
 	}
 }
 
@@ -212,7 +218,7 @@
 		Policy:  t.c.pol, Expect: t.expect, Spares: t.spares(), Typical: t.typical(),
 		MayVacate:  now.Sub(max(t.lastVacate, t.acquired)) >= t.c.pol.VacateEvery && !t.c.cut,
 		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.desk.Pending()) < 4,
-		ValueBytes: p.State.ValueBytes(), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
+		ValueBytes: t.limits().ValueBytes(), Parts: t.parts(), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
 	w.Active = func(team unit.Team) bool {
 		last, ok := t.lastWork[team]
 		return ok && now.Sub(last) <= t.c.pol.GuaranteeHold
--- a/internal/controller/sim_nodes_test.go
+++ b/internal/controller/sim_nodes_test.go
@@ -12,6 +12,7 @@
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
 	"badgerbay/internal/leadership"
+	"badgerbay/internal/rollout"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/vouch"
@@ -88,12 +89,21 @@
 	s.after(s.latency(), func() {
 		if p.alive {
 			s.step(p, PeerAsked{Node: n.name, Ticket: func(r ReplyPeer) {
-				s.reply(n, life, PeerSaid{Node: p.name, Sent: sent, Said: r.Said})
+				s.reply(n, life, PeerSaid{Node: p.name, Sent: sent, Said: r.Said, Form: s.formOf(n, p)})
 			}})
 		}
 	})
 }
 
+// formOf is what n hears that p can; where either still has the version before,
+// nothing.
+func (s *sim) formOf(n, p *simNode) rollout.Form {
+	if s.before[n.index] || s.before[p.index] {
+		return 0
+	}
+	return rollout.Newest
+}
+
 func (s *sim) crash(n *simNode, back time.Duration) {
 	n.alive = false
 	n.life++
@@ -158,12 +168,19 @@
 		s.after(s.slowLoads+s.stateLatency(), func() {
 			jobs, _, err := s.state.List(checkpoint.KeyPrefix)
 			rounds, _, err2 := s.state.List(round0)
-			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && err2 == nil && !s.stateless(n), Jobs: jobs, Rounds: rounds})
+			parts, _, _ := s.state.List(checkpoint.PartPrefix)
+			agreed, _ := s.state.Get(rollout.Key)
+			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && err2 == nil && !s.stateless(n), Jobs: jobs, Rounds: rounds, Parts: parts, Agreed: agreed})
 		})
 	case ReadJob:
 		s.after(s.stateLatency(), func() {
 			item, err := s.state.Get(checkpoint.Key(e.Job))
-			s.reply(n, life, JobRead{Job: e.Job, OK: err == nil && !s.stateless(n), Item: item})
+			parts := map[int][]byte{}
+			for k := 1; k <= checkpoint.Parts(item.Value); k++ {
+				part, _ := s.state.Get(checkpoint.PartKey(e.Job, k))
+				parts[k] = part.Value
+			}
+			s.reply(n, life, JobRead{Job: e.Job, OK: err == nil && !s.stateless(n), Item: item, Parts: parts})
 		})
 	case Commit:
 		s.after(s.stateLatency(), func() { s.commit(n, life, e, false) })
@@ -305,6 +322,7 @@
 	}
 	v, err := s.tryCommit(c.Txn)
 	done := Committed{Kind: c.Kind, Epoch: c.Epoch, Outcome: outcomeOf(err), Version: v}
+	done.TooLarge = errors.Is(err, statestore.ErrMalformed) && beyond(c.Txn, s.set.Params.State.Tight())
 	var conflict *statestore.ConflictError
 	switch {
 	case errors.As(err, &conflict):
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -55,6 +55,9 @@
 	lateWrites float64                         // the share of transactions that are carried out late, without an answer
 	slowState  time.Duration                   // how long the state service takes at most
 	slowLoads  time.Duration                   // how long a new leader needs to read the records
+	surprise   unit.Instant                    // until when the limits of the state service may be met
+	surprised  int                             // how often they were
+	before     map[int]bool                    // nodes that don't say their version
 	troubled   bool                            // the troubles of the day go on
 	linkDelay  time.Duration                   // how much longer messages take, at most
 	atEnd      float64                         // the chance that a job is withdrawn as its last task ends
--- a/internal/controller/sim_world_test.go
+++ b/internal/controller/sim_world_test.go
@@ -127,6 +127,11 @@
 
 // world lets time pass outside the nodes.
 func (s *sim) world() {
+	if s.state.Breach != "" && s.now.Before(s.surprise) {
+		// The limits came before anybody could know that all are upgraded.
+		s.state.Breach = ""
+		s.surprised++
+	}
 	if s.state.Breach != "" {
 		s.t.Fatalf("beyond the limits of the state service: %s", s.state.Breach)
 	}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -9,12 +9,15 @@
 	"strings"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/rental"
+	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
@@ -28,15 +31,18 @@
 	epoch    unit.Epoch
 	acquired unit.Instant
 	loaded   bool
-	ready    bool // reconciled: places from now on
-	jobs     map[unit.JobID]*checkpoint.Job
-	specSize map[unit.JobID]int
-	reading  map[unit.JobID]bool
-	fleet    *fleet.Fleet
-	ring     *round.Ring
-	desk     *rental.Desk
-	cloud    *statestore.Bucket
-	teams    map[unit.Team]config.Team
+	cluster  *rollout.Cluster // the nodes' versions
+	// formStamp is the version of the key that holds the form agreed on.
+	formStamp unit.Version
+	ready     bool // reconciled: places from now on
+	jobs      map[unit.JobID]*checkpoint.Job
+	specSize  map[unit.JobID]int
+	reading   map[unit.JobID]bool
+	fleet     *fleet.Fleet
+	ring      *round.Ring
+	desk      *rental.Desk
+	cloud     *statestore.Bucket
+	teams     map[unit.Team]config.Team
 
 	dirty      bool // something changed since the last plan
 	lastRound  unit.Instant
@@ -90,6 +96,7 @@
 		lastWork: map[unit.Team]unit.Instant{}, expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{},
 		lastSeal: now, nextTypes: now.Add(5 * time.Second)}
 	w, p := c.set.Params.Workers, c.set.Params
+	t.cluster = rollout.New(c.set.PeerLabels(), 0)
 	t.fleet = fleet.New(fleet.Times{Report: w.ReportInterval(), Lease: w.Lease()}, epoch, now, t.job)
 	t.fleet.SetTypes(c.types)
 	t.ledger = vouch.NewLedger(c.set, now)
@@ -201,6 +208,7 @@
 		return
 	}
 	t.reconciled(now)
+	t.maybeAgree(now)
 	t.maybeSeal(now)
 	t.maybeFold(now)
 	t.maybeRound(now)
@@ -217,8 +225,21 @@
 		t.c.emit(LoadAll{Epoch: t.epoch})
 		return
 	}
+	t.formStamp = in.Agreed.Stamp
+	var agreed rollout.Agreed
+	if in.Agreed.Stamp != 0 {
+		if err := msgpack.Unmarshal(in.Agreed.Value, &agreed); err != nil {
+			t.unreadable(in.Agreed.Key, err)
+		}
+	}
+	t.cluster = rollout.New(t.c.set.PeerLabels(), agreed.Form)
+	parts := make(map[string][]byte, len(in.Parts))
+	for _, item := range in.Parts {
+		parts[item.Key] = item.Value
+	}
 	for _, item := range in.Jobs {
-		t.addJob(now, unit.JobID(strings.TrimPrefix(item.Key, checkpoint.KeyPrefix)), item)
+		id := unit.JobID(strings.TrimPrefix(item.Key, checkpoint.KeyPrefix))
+		t.addJob(now, id, item, func(n int) []byte { return parts[checkpoint.PartKey(id, n)] })
 	}
 	var stored []round.Stored
 	for _, item := range in.Rounds {
@@ -249,8 +270,8 @@
 }
 
 // addJob takes in a job record with the placements it holds.
-func (t *term) addJob(now unit.Instant, id unit.JobID, item statestore.Item) {
-	r, err := checkpoint.Decode(item.Value)
+func (t *term) addJob(now unit.Instant, id unit.JobID, item statestore.Item, part func(int) []byte) {
+	r, err := checkpoint.DecodeWhole(item.Value, part)
 	if err != nil {
 		t.unreadable(item.Key, err)
 		return
@@ -530,7 +551,7 @@
 	}
 	j := t.jobs[in.Job]
 	if j == nil {
-		t.addJob(now, in.Job, in.Item)
+		t.addJob(now, in.Job, in.Item, func(n int) []byte { return in.Parts[n] })
 		t.c.log.Info("job taken in", "job", in.Job, "class", t.jobs[in.Job].Spec.Class, "team", t.jobs[in.Job].Spec.Team, "tasks", t.jobs[in.Job].Spec.Tasks, "epoch", t.epoch)
 		return
 	}
--- a/internal/intake/wire.go
+++ b/internal/intake/wire.go
@@ -239,6 +239,9 @@
 
 // StatusOfRecord is the state of a job by its record.
 func StatusOfRecord(r *checkpoint.Record) Status {
+	if o := r.Overflow; o != nil {
+		return status(r.Phase, o.Done, o.Live)
+	}
 	running := 0
 	for _, g := range r.Live {
 		running += g.Tasks.Len()
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/fleet"
+	"badgerbay/internal/rollout"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/vouch"
 	"badgerbay/internal/wire"
@@ -33,6 +34,8 @@
 	// service before it said, in QuietMs, how long ago it kept a worker.
 	Echo    string `msgpack:"e,omitempty" json:"e,omitempty"`
 	QuietMs int64  `msgpack:"q,omitempty" json:"q,omitempty"`
+	// Form is what the node can; see package rollout.
+	Form rollout.Form `msgpack:"f,omitempty" json:"f,omitempty"`
 }
 
 // Ask is a withdrawal on its way to the leader.
@@ -78,11 +81,12 @@
 	LifeMs  int64                     `msgpack:"l" json:"l"`
 	QuietMs int64                     `msgpack:"q" json:"q"`
 	Owing   wire.List[unit.MachineID] `msgpack:"o,omitempty" json:"o,omitempty"`
+	Form    rollout.Form              `msgpack:"f,omitempty" json:"f,omitempty"`
 }
 
 // PackVouch makes the form of it that travels.
 func PackVouch(s vouch.Said) *Vouch {
-	return &Vouch{Epoch: s.Epoch, LifeMs: s.Life.Milliseconds(), QuietMs: s.Quiet.Milliseconds(), Owing: s.Owing}
+	return &Vouch{Epoch: s.Epoch, LifeMs: s.Life.Milliseconds(), QuietMs: s.Quiet.Milliseconds(), Owing: s.Owing, Form: rollout.Newest}
 }
 
 // Unpack undoes PackVouch. What can't be is taken for no grant.
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -41,6 +41,7 @@
 	MayHire    bool
 	Policy     *policy.Policy
 	ValueBytes int
+	Parts      int // values that a job's record may take
 	SpecSize   func(*checkpoint.Job) int
 }
 
@@ -448,7 +449,7 @@
 func (p *planner) room(j *checkpoint.Job) checkpoint.Room {
 	r, ok := p.rooms[j]
 	if !ok {
-		r = j.Room(p.w.ValueBytes, p.w.SpecSize(j))
+		r = j.Room(p.w.ValueBytes, p.w.Parts, p.w.SpecSize(j))
 		p.rooms[j] = r
 	}
 	return r
--- a/internal/round/record_test.go
+++ b/internal/round/record_test.go
@@ -1,6 +1,8 @@
 package round
 
 import (
+	"bytes"
+	"os"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -64,3 +66,26 @@
 		}
 	})
 }
+
+// TestRecordOfTheVersionBefore: a round that the production version has stored
+// is read, and written again byte by byte.
+func TestRecordOfTheVersionBefore(t *testing.T) {
+	data, err := os.ReadFile("testdata/production/round.msgpack")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Starts) != 120 || len(r.Hires) != 1 || len(r.Releases) != 2 || r.No != 4501 || r.Low != 4490 {
+		t.Errorf("%d starts, %d rentals, %d releases of round %d", len(r.Starts), len(r.Hires), len(r.Releases), r.No)
+	}
+	again, err := r.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if out, err := msgpack.Marshal(again); err != nil || !bytes.Equal(out, data) {
+		t.Errorf("not written as it was read: %v", err)
+	}
+}
--- a/internal/statestore/budget.go
+++ b/internal/statestore/budget.go
@@ -162,6 +162,14 @@
 	return ok
 }
 
+// Spend takes n changes that are made whether or not they are there, so that
+// later ones wait for them: those of a record that takes several values.
+func (b *Budget) Spend(now unit.Instant, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.writes.Take(now, float64(n), -float64(n))
+}
+
 // WritesFor tells how many changes the use may make now.
 func (b *Budget) WritesFor(now unit.Instant, use Use) int {
 	b.mu.Lock()
--- a/internal/wire/pack.go
+++ b/internal/wire/pack.go
@@ -73,6 +73,29 @@
 	return data, nil
 }
 
+// SqueezeWith compresses what f writes and packs it into a text.
+func SqueezeWith(f func(*msgpack.Encoder) error) (Packed, error) {
+	var b strings.Builder
+	w := base64.NewEncoder(base64.RawStdEncoding, &b)
+	z, err := flate.NewWriter(w, flate.DefaultCompression)
+	if err != nil {
+		return "", fmt.Errorf("squeezing: %w", err)
+	}
+	if err := errors.Join(f(msgpack.NewEncoder(z)), z.Close(), w.Close()); err != nil {
+		return "", fmt.Errorf("squeezing: %w", err)
+	}
+	return Packed(b.String()), nil
+}
+
+// ExpandWith lets f read what SqueezeWith wrote, up to limit bytes.
+func (p Packed) ExpandWith(limit int64, f func(*msgpack.Decoder) error) error {
+	z := flate.NewReader(base64.NewDecoder(base64.RawStdEncoding, strings.NewReader(string(p))))
+	if err := f(msgpack.NewDecoder(io.LimitReader(z, limit))); err != nil {
+		return fmt.Errorf("expanding: %w", err)
+	}
+	return nil
+}
+
 // PackedLen is the length of n bytes once they are packed.
 func PackedLen(n int) int { return base64.RawStdEncoding.EncodedLen(n) }
 
