Gangs whole or not at all: in one zone, held, rented, stopped and ended as one

A gang is planned whole: within its zone, its team's limit, the job's record and the round's; where it does not fit, one zone is kept for it and what is missing is rented there. No task of a gang is stopped to make room; a notice on one machine stops all at once with leave to save; what is left of a gang that has lost a task is told to end at once and placed anew when each end is proven. Done of one is done of all. Failures back off once an attempt and blame no machine.

--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -71,6 +71,7 @@
 	Ran unit.Ranges
 
 	Errors    int          // failures in a row
+	GangError unit.Attempt // of a gang, the last that has failed
 	NotBefore unit.Instant // no placing before
 	Avoid     map[unit.MachineID]unit.Instant
 	ByZone    map[unit.Zone]int // live placements
@@ -160,12 +161,16 @@
 	return now.Sub(p.Ran)
 }
 
-// Complete notes that a task has completed.
+// Complete notes that a task has completed. The tasks of a gang complete
+// together.
 func (j *Job) Complete(now unit.Instant, i unit.TaskIndex) {
 	if int(i) >= j.Spec.Tasks || !j.Done.Add(i) {
 		return
 	}
 	j.Queue.Remove(i)
+	if j.Spec.Gang {
+		j.Done, j.Queue = unit.Full(j.Spec.Tasks), nil
+	}
 	j.Errors = 0
 	if j.Phase == Active && j.Done.Len() == j.Spec.Tasks {
 		j.Phase = Done
--- a/internal/controller/sim_world_test.go
+++ b/internal/controller/sim_world_test.go
@@ -172,6 +172,13 @@
 			h.Worker.Advance(s.now)
 		}
 	}
+	var up []*standin.Worker
+	for _, id := range s.fleetOf() {
+		if h := s.cloud.Machines[id]; !h.Failed {
+			up = append(up, h.Worker)
+		}
+	}
+	standin.Gather(s.now, up, 20*time.Second, 8*time.Second, func(id unit.MachineID) bool { return s.now.Before(s.hung[id]) })
 	for id, j := range s.jobs {
 		if j.cancelled == 0 || s.now.Sub(j.cancelled) < s.set.Params.Workers.Cancel() {
 			continue
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -384,6 +384,7 @@
 	}
 	t.nextSweep = now.Add(200 * time.Millisecond)
 	t.ended(now, t.fleet.Expire(now))
+	t.endBroken(now)
 	if t.c.lead.Entitled(now) {
 		t.probe(now)
 	}
@@ -468,6 +469,10 @@
 	left := m.NoticeAt.Sub(now)
 	t.c.log.Info("machine to be taken", "machine", m.ID, "in", left, "epoch", t.epoch)
 	for _, p := range m.Live() {
+		if p.Job.Spec.Gang {
+			t.haltGang(now, p.Job, unit.Seconds(p.Job.Spec.SaveS))
+			continue
+		}
 		t.fleet.Halt(now, p, unit.Seconds(p.Job.Spec.SaveS))
 	}
 }
@@ -497,6 +502,8 @@
 			t.avoid(now, j, e.Placement.Machine, avoidRefused)
 			j.NotBefore = max(j.NotBefore, now.Add(time.Second))
 			t.c.met.Refusals.Inc()
+		case fleet.CauseIncomplete, fleet.CausePeers:
+			t.gangFailed(now, e.Placement)
 		case fleet.CauseDone:
 			if m != nil {
 				m.Suspect = 0
--- a/internal/round/order.go
+++ b/internal/round/order.go
@@ -66,11 +66,16 @@
 // first, then arrival.
 func (p *planner) order() {
 	for _, j := range p.w.Jobs {
+		if j.Spec.Gang {
+			// A gang has one turn: it comes whole.
+			p.queue = append(p.queue, turn{job: j, guaranteed: p.guaranteed(j) >= j.Queue.Len() && p.withinGuarantee(j)})
+			continue
+		}
 		p.queue = append(p.queue, turn{job: j})
 		if p.isOld(j) && len(j.Fresh(1)) > 0 {
 			p.queue = append(p.queue, turn{job: j, first: true})
 		}
-		if p.withinGuarantee(j) && !j.Spec.Gang {
+		if p.withinGuarantee(j) {
 			p.queue = append(p.queue, turn{job: j, guaranteed: true})
 		}
 	}
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -144,6 +144,8 @@
 	began map[*checkpoint.Job]int // tasks that this plan starts
 	// promised counts the tasks of a job that wait for machines to come.
 	promised map[*checkpoint.Job]int
+	// gangZone is where machines for a gang must be rented; "": anywhere.
+	gangZone map[*checkpoint.Job]unit.Zone
 }
 
 // Make plans a round. It changes nothing it is given.
@@ -152,7 +154,7 @@
 		placed: map[*bin]int{}, claimed: map[*checkpoint.Job]unit.Ranges{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
 		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{},
-		elders: map[*checkpoint.Job]*checkpoint.Placement{}, ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}, promised: map[*checkpoint.Job]int{}}
+		elders: map[*checkpoint.Job]*checkpoint.Placement{}, ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}, promised: map[*checkpoint.Job]int{}, gangZone: map[*checkpoint.Job]unit.Zone{}}
 	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
@@ -250,6 +252,9 @@
 // could start by its limits found no room.
 func (p *planner) placeJob(t turn) int {
 	j := t.job
+	if j.Spec.Gang {
+		return p.placeGang(j)
+	}
 	left := min(j.Queue.Len()-p.claimed[j].Len(), p.quota(j))
 	if t.guaranteed {
 		left = min(left, p.guaranteed(j))
@@ -263,9 +268,6 @@
 	tasks := p.claim(j, left, t.first)
 	p.first = t.first
 	bins := p.ranked(j)
-	if j.Spec.Gang && !p.holdsAll(j, bins, left) {
-		return p.wholeGang(j, left)
-	}
 	rushed := false
 	for _, b := range bins {
 		if !rushed && !b.m.HasImage(j.Spec.Image) && p.rush(j, b) {
@@ -427,10 +429,7 @@
 // start adds a group to the record, as far as the record has room, and
 // returns how many tasks it took.
 func (p *planner) start(j *checkpoint.Job, b *bin, tasks []unit.TaskIndex) int {
-	st := Start{Job: j.ID, Machine: b.m.ID, Shift: b.m.Shift}
-	for _, i := range tasks {
-		st.Tasks.Add(i)
-	}
+	st := startOf(j, b, tasks)
 	// Room is kept for one rental.
 	if p.size+st.SizeOf()+2*hireSize > p.w.ValueBytes {
 		p.full = true
@@ -445,6 +444,14 @@
 	return len(tasks)
 }
 
+func startOf(j *checkpoint.Job, b *bin, tasks []unit.TaskIndex) Start {
+	st := Start{Job: j.ID, Machine: b.m.ID, Shift: b.m.Shift}
+	for _, i := range tasks {
+		st.Tasks.Add(i)
+	}
+	return st
+}
+
 // room is what the job's record still holds, with what this plan has started.
 func (p *planner) room(j *checkpoint.Job) checkpoint.Room {
 	r, ok := p.rooms[j]
--- a/internal/round/preempt.go
+++ b/internal/round/preempt.go
@@ -137,7 +137,9 @@
 	var out []*checkpoint.Placement
 	p.plan.Work += b.m.Load().Tasks
 	for _, v := range b.running() {
-		if !p.taken[v] && (v.Halting || p.mayStop(j, v)) {
+		// A gang that loses a task ends whole: none of its tasks is stopped to make
+		// room for one.
+		if !p.taken[v] && (v.Halting || !v.Job.Spec.Gang && p.mayStop(j, v)) {
 			out = append(out, v)
 		}
 	}
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -78,6 +78,9 @@
 	var bestType *fleet.Type
 	bestCost := math.Inf(1)
 	p.eachOffer(j, func(o rental.Offer, t *fleet.Type) {
+		if z := p.gangZone[j]; z != "" && z != o.Zone {
+			return
+		}
 		if p.zoneRoom(j, o.Zone) == 0 || p.w.Blocked(o) || !p.worth(j, t, o.Spot) {
 			return
 		}
--- a/internal/round/spare.go
+++ b/internal/round/spare.go
@@ -51,7 +51,7 @@
 		return sum
 	}
 	for _, v := range b.running() {
-		if v.Job.Spec.Priority < s.Priority && v.Job.Spec.CheckpointS == 0 {
+		if v.Job.Spec.Priority < s.Priority && v.Job.Spec.CheckpointS == 0 && !v.Job.Spec.Gang {
 			sum = sum.Plus(v.Job.Spec.Need())
 		}
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -15,6 +15,10 @@
 	Cause   fleet.Cause
 	Ready   unit.Instant // its image is there
 	Ends    unit.Instant // it completes; 0: never
+	// of a gang: how long it runs, since when it waits for the others, and since
+	// when it has lost one of them
+	run            time.Duration
+	waiting, alone unit.Instant
 }
 
 // Worker is a stand-in for a worker.
@@ -51,6 +55,8 @@
 	fetching fleet.State = "fetching"
 	running  fleet.State = "running"
 	exited   fleet.State = "exited"
+	// gathering: a task of a gang that waits for the others
+	gathering fleet.State = "gathering"
 )
 
 // Expire ends the shift if its lease has run out. It holds for a machine that
@@ -70,6 +76,9 @@
 		for _, t := range attempts {
 			if t.State == fetching && !now.Before(t.Ready) {
 				t.State = running
+				if spec, _, ok := w.Spec(id.Job); ok && spec.Gang {
+					t.State, t.waiting = gathering, now
+				}
 				w.Seen(now, w, id, true)
 			}
 			if t.State == running && (w.done[id] || t.Ends != 0 && !now.Before(t.Ends)) {
@@ -84,7 +93,7 @@
 func (w *Worker) Clear(now unit.Instant) {
 	for id, attempts := range w.Tasks {
 		for _, t := range attempts {
-			if t.State == running {
+			if t.on() {
 				w.Seen(now, w, id, false)
 			}
 		}
@@ -92,8 +101,11 @@
 	w.Tasks = map[unit.TaskID]map[unit.Attempt]*Task{}
 }
 
+// on tells whether the task is on its machine.
+func (t *Task) on() bool { return t.State == running || t.State == gathering }
+
 func (w *Worker) exit(now unit.Instant, id unit.TaskID, t *Task, cause fleet.Cause) {
-	if t.State == running {
+	if t.on() {
 		w.Seen(now, w, id, false)
 	}
 	t.State, t.Cause = exited, cause
@@ -160,6 +172,8 @@
 		refuse(fleet.CauseBusy)
 	case !w.Free().Fits(spec.Need()):
 		refuse(fleet.CauseNoRoom)
+	case spec.Gang:
+		t.run = run
 	case run > 0:
 		t.Ends = t.Ready.Add(run)
 	}
