--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -58,6 +58,12 @@
 		"params.teams[0].cpus":              func(m map[string]any) { m["params"].(map[string]any)["teams"].([]any)[0].(map[string]any)["cpus"] = -1 },
 		"params.machine_limits.max_sockets": params("machine_limits", "max_sockets", 19),
 		"params.machine_limits.mem_mb":      params("machine_limits", "mem_mb", 8),
+		"params.workers.gang_wait_s":        params("workers", "gang_wait_s", -3),
+		"params.workers.gang_peer_s":        params("workers", "gang_peer_s", "soon"),
+		"params.state.next.value_kb":        params("state", "next", map[string]any{"write_rps": 15.0, "value_kb": 0.2, "txn_ops": 4}),
+		"params.state.next.txn_ops":         params("state", "next", map[string]any{"write_rps": 15.0, "value_kb": 2.0}),
+		"params.state.next.write_rps":       params("state", "next", map[string]any{"write_rps": -1.0, "value_kb": 2.0, "txn_ops": 4}),
+		"params.state.next":                 params("state", "next", 7),
 	} {
 		_, err := Read(strings.NewReader(settings(t, change)))
 		var fe *FieldError
@@ -73,3 +79,17 @@
 		}
 	}
 }
+
+// TestLaterLimits: without state.next the limits are those of now; with it, the
+// smaller of each.
+func TestLaterLimits(t *testing.T) {
+	now := State{RPS: 150, WriteRPS: 20, ValueKB: 8, TxnOps: 8}
+	if now.Tight() != now {
+		t.Errorf("%+v without later limits", now.Tight())
+	}
+	later := now
+	later.Next = &StateLimits{WriteRPS: 30, ValueKB: 2, TxnOps: 4}
+	if got := later.Tight(); got.WriteRPS != 20 || got.ValueKB != 2 || got.TxnOps != 4 || got.RPS != 150 {
+		t.Errorf("%+v, want the smaller of each", got)
+	}
+}
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -122,12 +122,18 @@
 	if len(r.Types) == 0 {
 		return http.StatusServiceUnavailable
 	}
-	if !r.fitsSomewhere(s) {
+	if !r.fitsSomewhere(s) || s.Gang && s.ZoneCap() < s.Tasks && !r.mayBeApart(s) {
 		return http.StatusUnprocessableEntity
 	}
 	return 0
 }
 
+// mayBeApart tells whether a gang that must be spread has more than one zone to
+// run in: all its tasks run at once, so one zone is not enough.
+func (r *Rules) mayBeApart(s *checkpoint.Spec) bool {
+	return !s.OneZone && s.Zone == "" && len(r.Zones) > 1
+}
+
 func (r *Rules) fitsSomewhere(s *checkpoint.Spec) bool {
 	for _, t := range r.Types {
 		if !t.Capacity.Fits(s.Need()) {
