--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -154,6 +154,11 @@
 		s.atEnd = 0.8
 		s.again(20*sec, 40*sec, func() { s.crashLeader(2 * sec) })
 	}},
+	{"done against cancelled, writes unanswered, leaders that change", func(s *sim) {
+		s.atEnd, s.lateWrites, s.loss = 0.8, 0.2, 0.03
+		s.again(8*sec, 20*sec, func() { s.crashLeader(2 * sec) })
+		s.again(20*sec, 30*sec, func() { s.refuse(s.between(2*sec, 9*sec)) })
+	}},
 	{"controllers hand over and back, all end, one returns at once", func(s *sim) {
 		s.again(12*sec, 20*sec, func() {
 			if l := s.leader(); l != nil {
