A gang waits for its team's limit in its turn; a checkpoint too large keeps nobody waiting

By reading: work of the same team took each bit of the limit that a gang waited for, and a checkpoint that fits no number of parts took the turn of those behind it while changes were short. Both have tests that fail without the mend.

--- a/internal/controller/folds.go
+++ b/internal/controller/folds.go
@@ -24,6 +24,9 @@
 // maxTxn keeps a transaction below the state service's limit of 64 KiB.
 const maxTxn = 40 << 10
 
+// tooLargeRest is how long a checkpoint that is too large is not tried again.
+const tooLargeRest = 2 * time.Second
+
 // maxUrgent bounds the checkpoints of one fold, so that those who wait for
 // changes have their turn in between. In a flood the folds of the jobs just
 // placed took three changes of four, and 440 users needed 50 s to get in.
@@ -53,6 +56,9 @@
 	for _, j := range batch[:n] {
 		rec, parts, err := j.Record(t.epoch).Split(limits.ValueBytes(), t.parts(), statestore.JSONSize)
 		if err != nil {
+			// It is tried again once some of its tasks have ended, and does not
+			// keep others from their turn.
+			t.tooLarge[j.ID] = now.Add(tooLargeRest)
 			t.c.met.TooLarge.Inc()
 			t.c.log.Error("checkpoint can't be written", "job", j.ID, "err", err, "epoch", t.epoch)
 			continue
@@ -88,7 +94,7 @@
 		}
 	}
 	for _, j := range t.jobs {
-		if !j.Dirty() || j.Writing || t.flight != nil && t.flight.jobs[j.ID] {
+		if !j.Dirty() || j.Writing || now.Before(t.tooLarge[j.ID]) || t.flight != nil && t.flight.jobs[j.ID] {
 			continue
 		}
 		if j.Urgent() || pressed[j.ID] || len(t.waiting[j.ID]) > 0 {
--- a/internal/controller/rollout_test.go
+++ b/internal/controller/rollout_test.go
@@ -1,12 +1,16 @@
 package controller
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
 	"badgerbay/internal/rollout"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
 )
 
 // rollOut plays a day on which the nodes get this version one at a time, with
@@ -90,3 +94,47 @@
 		})
 	}
 }
+
+// TestTooLargeKeepsNobodyWaiting: a checkpoint that fits no number of parts is
+// counted, and does not keep those behind it from being written.
+func TestTooLargeKeepsNobodyWaiting(t *testing.T) {
+	g := newGrown(t, 0)
+	g.core.set.Params.State.Next = &config.StateLimits{WriteRPS: 15, ValueKB: 2, TxnOps: 4}
+	tm := g.core.term
+	tm.cluster.Lowered()
+	rng := rand.New(rand.NewPCG(1, 1))
+	wide := batch
+	wide.Tasks = 90_000
+	huge := checkpoint.NewRecord(wide, 0)
+	for i := range 3000 {
+		at := unit.TaskIndex(30*i + rng.IntN(29))
+		huge.Live = append(huge.Live, checkpoint.Group{Machine: unit.MachineID(fmt.Sprintf("host-%06d", rng.IntN(1_000_000))),
+			Session: unit.Session(1 + rng.IntN(50)), Attempt: unit.Attempt(rng.IntN(1 << 30)), Tasks: unit.Ranges{{First: at, Last: at}}})
+	}
+	for id, r := range map[unit.JobID]*checkpoint.Record{"wk-000001": huge, "wk-000002": checkpoint.NewRecord(batch, 0)} {
+		data, err := encodeRecord(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tm.addJob(g.now, id, statestore.Item{Key: checkpoint.Key(id), Value: data, Stamp: 5}, nil)
+	}
+	tm.jobs["wk-000001"].Cancel(g.now)
+	tm.jobs["wk-000002"].Cancel(g.now.Add(time.Millisecond))
+	for range 40 {
+		g.now = g.now.Add(50 * time.Millisecond)
+		for g.core.budget.WritesFor(g.now, statestore.UseUrgentFold) > 1 {
+			g.core.budget.Spend(g.now, 1) // there is one change for one job
+		}
+		for _, e := range g.core.Step(g.now, Tick{}) {
+			c, ok := e.(Commit)
+			if !ok || c.Kind != CommitFold {
+				continue
+			}
+			if len(c.Txn.Writes) != 1 || c.Txn.Writes[0].Set != "job/wk-000002" {
+				t.Fatalf("written: %+v", c.Txn.Writes)
+			}
+			return
+		}
+	}
+	t.Error("the job behind one that is too large was not written")
+}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -61,6 +61,7 @@
 	nextStuck  unit.Instant
 	waiting    map[unit.JobID][]waiter
 	parked     []parked
+	tooLarge   map[unit.JobID]unit.Instant // checkpoints not to be tried before
 	reach      reach
 	found      unit.Instant // when a machine that was silent for too long was last heard again
 	ledger     *delegation.Ledger
@@ -93,7 +94,7 @@
 		specSize: map[unit.JobID]int{}, reading: map[unit.JobID]bool{},
 		desk: rental.NewDesk(c.pol.HireBackoff), ring: round.NewRing(c.pol.RingSlots),
 		waiting: map[unit.JobID][]waiter{}, teams: c.set.Params.TeamsByName(),
-		lastWork: map[unit.Team]unit.Instant{}, expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{},
+		lastWork: map[unit.Team]unit.Instant{}, expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{}, tooLarge: map[unit.JobID]unit.Instant{},
 		lastRaise: now, nextTypes: now.Add(5 * time.Second)}
 	w, p := c.set.Params.Workers, c.set.Params
 	t.cluster = rollout.New(c.set.PeerLabels(), 0)
--- a/internal/round/gang.go
+++ b/internal/round/gang.go
@@ -22,8 +22,14 @@
 func (p *planner) placeGang(j *checkpoint.Job) int {
 	n := j.Queue.Len()
 	// What is left of an earlier attempt must be over first: it stays on its
-	// machines, and in its zone. A team at its limit holds no machine.
-	if len(j.Live) > 0 || p.quota(j) < n || p.full {
+	// machines, and in its zone.
+	if len(j.Live) > 0 || p.full {
+		return 0
+	}
+	if may := p.quota(j); may < n {
+		// It holds no machine, but what is left of its team's limit: else tasks
+		// of its team that come one by one would take each bit as it comes free.
+		p.usage[j.Spec.Team] = p.usage[j.Spec.Team].Plus(j.Spec.Need().Times(may))
 		return 0
 	}
 	if parts := p.fitGang(j, p.ranked(j)); parts != nil {
--- a/internal/round/gang_test.go
+++ b/internal/round/gang_test.go
@@ -111,6 +111,20 @@
 	}
 }
 
+// TestGangHoldsItsLimit: while a gang waits for its team's limit, what is left of
+// that goes to no other work of the team that comes after it.
+func TestGangHoldsItsLimit(t *testing.T) {
+	s := gangScene(t, "a", "a", "a")
+	s.w.Teams["red"] = config.Team{CPUsMax: 10}
+	s.place(s.job("wk-000001", task("red", checkpoint.Standard, 1, 4)), 0, "host-3")
+	s.job("wk-000002", gangSpec(4, 2))
+	later := s.job("wk-000003", task("red", checkpoint.Standard, 3, 2))
+	later.Accepted = 1
+	if starts := s.plan().Record.Starts; len(starts) > 0 {
+		t.Errorf("starts %+v of what the gang waits for", starts)
+	}
+}
+
 // TestGangIsNotStoppedInPart: no task of a gang is stopped to make room.
 func TestGangIsNotStoppedInPart(t *testing.T) {
 	s := gangScene(t, "a")
