--- a/internal/controller/server_test.go
+++ b/internal/controller/server_test.go
@@ -248,12 +248,12 @@
 	}
 }
 
-// TestHigherSealDeposes: a worker that has seen a higher token proves that
+// TestHigherTokenDeposes: a worker that has seen a higher token proves that
 // somebody else was elected.
 func TestHigherTokenDeposes(t *testing.T) {
 	b := newBench(t)
-	b.lead(t)
 	b.srv.State.Down = true // it can't be elected again
+	b.lead(t)
 	if w := b.call("POST", "/agent/beat", report(78)); w.Code != 503 {
 		t.Errorf("%d, want 503", w.Code)
 	}
