Known red: a cut zone keeps its replicas only where its workers happen to report well

A worker that the node inside sends on tries the others, 5 s each, and may be back when the grant has ended. Not mended here: sending on costs nothing where only the node is cut off, so that needs measuring.

--- a/internal/controller/days_test.go
+++ b/internal/controller/days_test.go
@@ -273,25 +273,42 @@
 // started elsewhere; without the grants all in the zone were killed.
 func TestCutZoneKeepsItsReplicas(t *testing.T) {
 	for _, inside := range []bool{true, false} {
-		s := newSim(t, 21)
-		s.submit(1, spread, 0)
-		s.submit(2, spread, 0)
-		s.run(30 * time.Second)
-		before := s.starts
-		l := s.leader()
-		if s.zoneCut = s.nodes[1].zone; inside == (l.zone != s.zoneCut) {
-			s.zoneCut = s.nodes[0].zone
-		}
-		s.run(42 * time.Second)
-		s.heal()
-		s.run(20 * time.Second)
-		if s.starts != before || len(s.on) != 2*spread.Tasks {
-			t.Errorf("leader inside %v: %d replicas started anew, %d run of %d", inside, s.starts-before, len(s.on), 2*spread.Tasks)
+		cutZone(t, 21, inside)
+	}
+}
+
+// TestCutZoneWhereverItsWorkersAre is the same whichever nodes the workers report
+// to as the cut begins. A worker that tries each node in turn, four seconds and
+// one each, is sent on once by the node inside, and may come back to it only when
+// its grant has ended.
+func TestCutZoneWhereverItsWorkersAre(t *testing.T) {
+	for seed := range uint64(10) {
+		for _, inside := range []bool{true, false} {
+			cutZone(t, seed, inside)
 		}
-		s.finish()
 	}
 }
 
+// cutZone cuts off a zone with a node in it, the leader's or the other.
+func cutZone(t *testing.T, seed uint64, inside bool) {
+	s := newSim(t, seed)
+	s.submit(1, spread, 0)
+	s.submit(2, spread, 0)
+	s.run(30 * time.Second)
+	before := s.starts
+	l := s.leader()
+	if s.zoneCut = s.nodes[1].zone; inside == (l.zone != s.zoneCut) {
+		s.zoneCut = s.nodes[0].zone
+	}
+	s.run(42 * time.Second)
+	s.heal()
+	s.run(20 * time.Second)
+	if s.starts != before || len(s.on) != 2*spread.Tasks {
+		t.Errorf("seed %d, leader inside %v: %d replicas started anew, %d run of %d", seed, inside, s.starts-before, len(s.on), 2*spread.Tasks)
+	}
+	s.finish()
+}
+
 // TestRestartInEachStepOfAnElection ends a process before each of its requests
 // to the state service in turn, while it stands for election or leads, and
 // starts it again at once: late answers to the one must not serve the other.
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -100,7 +100,7 @@
 		t.Fatal(err)
 	}
 	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data}, answeredBatches{})
-	item, _ := b.n.store.Get(context.Background(), mesh.DownPrefix + "n1")
+	item, _ := b.n.store.Get(context.Background(), mesh.DownPrefix+"n1")
 	a, err := mesh.ExpandAnswers(item.Value)
 	if err != nil || a.ID != "b-1" || len(a.Reports) != 1 || a.Reports[0].Code != 200 || a.Reports[0].Epoch != 77 {
 		t.Fatalf("answers %+v, %v", a, err)
@@ -113,14 +113,14 @@
 	if bad := testutil.ToFloat64(b.n.met.BadBatches); bad != 1 {
 		t.Errorf("%v bad batches counted, want 1", bad)
 	}
-	if again, _ := b.n.store.Get(context.Background(), mesh.DownPrefix + "n1"); again.Stamp != item.Stamp {
+	if again, _ := b.n.store.Get(context.Background(), mesh.DownPrefix+"n1"); again.Stamp != item.Stamp {
 		t.Error("a batch that can't be read was answered")
 	}
 	// Once another leads, nothing more is written.
 	b.n.store.Commit(context.Background(), holder)
 	before := item.Stamp
 	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data}, answeredBatches{})
-	if item, _ := b.n.store.Get(context.Background(), mesh.DownPrefix + "n1"); item.Stamp != before {
+	if item, _ := b.n.store.Get(context.Background(), mesh.DownPrefix+"n1"); item.Stamp != before {
 		t.Error("a deposed leader answered")
 	}
 }
