Say once how tasks under way are counted and how a value is compressed

A clean-up after reading the whole change: intake counted a record's tasks beside checkpoint, and Squeeze and SqueezeWith differed in the level alone.

--- a/internal/checkpoint/parts.go
+++ b/internal/checkpoint/parts.go
@@ -59,7 +59,7 @@
 	}
 	out := *plain
 	out.Schema, out.Packed = Schema, text[:1] // for its name to be counted
-	out.Overflow = &Overflow{Sum: crc32.ChecksumIEEE([]byte(text)), Done: r.Done.Len(), Live: r.running(), Parts: parts}
+	out.Overflow = &Overflow{Sum: crc32.ChecksumIEEE([]byte(text)), Done: r.Done.Len(), Live: r.Running(), Parts: parts}
 	room := limit - size(&out)
 	if room < 0 {
 		return nil, nil, fmt.Errorf("%w: its spec alone leaves no room", ErrTooLarge)
@@ -79,7 +79,8 @@
 	return &out, rest, nil
 }
 
-func (r *Record) running() int {
+// Running counts the tasks under way.
+func (r *Record) Running() int {
 	n := 0
 	for _, g := range r.Live {
 		n += g.Tasks.Len()
--- a/internal/checkpoint/parts_test.go
+++ b/internal/checkpoint/parts_test.go
@@ -76,7 +76,7 @@
 		if got, want := fmt.Sprint(back.Done, back.Live), fmt.Sprint(r.Done, r.Live); got != want {
 			t.Fatalf("read back %s, want %s", got, want)
 		}
-		if head, err := Decode(data); err != nil || head.Overflow != nil && (head.Overflow.Done != r.Done.Len() || head.Overflow.Live != r.running()) {
+		if head, err := Decode(data); err != nil || head.Overflow != nil && (head.Overflow.Done != r.Done.Len() || head.Overflow.Live != r.Running()) {
 			t.Fatalf("alone it says %+v, %v", head.Overflow, err)
 		}
 	})
@@ -159,8 +159,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if r.running() < 150 || r.Done.Len() != 20 || r.Round != 4500 {
-			t.Errorf("%s: %d tasks under way, %d done, round %d", name, r.running(), r.Done.Len(), r.Round)
+		if r.Running() < 150 || r.Done.Len() != 20 || r.Round != 4500 {
+			t.Errorf("%s: %d tasks under way, %d done, round %d", name, r.Running(), r.Done.Len(), r.Round)
 		}
 		plain, parts, err := r.Split(16<<10, 1, jsonLen)
 		if err != nil || len(parts) > 0 || !bytes.Equal(stored(t, plain), data) {
--- a/internal/intake/wire.go
+++ b/internal/intake/wire.go
@@ -242,11 +242,7 @@
 	if o := r.Overflow; o != nil {
 		return status(r.Phase, o.Done, o.Live)
 	}
-	running := 0
-	for _, g := range r.Live {
-		running += g.Tasks.Len()
-	}
-	return status(r.Phase, r.Done.Len(), running)
+	return status(r.Phase, r.Done.Len(), r.Running())
 }
 
 func status(phase checkpoint.Phase, done, running int) Status {
--- a/internal/wire/pack.go
+++ b/internal/wire/pack.go
@@ -44,13 +44,23 @@
 // Squeeze encodes a value, compresses it and packs it into a text: reports of
 // many machines with many tasks say much the same.
 func Squeeze(v any) (Packed, error) {
+	return squeeze(flate.BestSpeed, func(e *msgpack.Encoder) error { return e.Encode(v) })
+}
+
+// SqueezeWith compresses what f writes, for what is kept, and packs it into a
+// text.
+func SqueezeWith(f func(*msgpack.Encoder) error) (Packed, error) {
+	return squeeze(flate.DefaultCompression, f)
+}
+
+func squeeze(level int, f func(*msgpack.Encoder) error) (Packed, error) {
 	var b strings.Builder
 	w := base64.NewEncoder(base64.RawStdEncoding, &b)
-	z, err := flate.NewWriter(w, flate.BestSpeed)
+	z, err := flate.NewWriter(w, level)
 	if err != nil {
 		return "", fmt.Errorf("squeezing: %w", err)
 	}
-	if err := errors.Join(msgpack.NewEncoder(z).Encode(v), z.Close(), w.Close()); err != nil {
+	if err := errors.Join(f(msgpack.NewEncoder(z)), z.Close(), w.Close()); err != nil {
 		return "", fmt.Errorf("squeezing: %w", err)
 	}
 	return Packed(b.String()), nil
@@ -73,20 +83,6 @@
 	return data, nil
 }
 
-// SqueezeWith compresses what f writes and packs it into a text.
-func SqueezeWith(f func(*msgpack.Encoder) error) (Packed, error) {
-	var b strings.Builder
-	w := base64.NewEncoder(base64.RawStdEncoding, &b)
-	z, err := flate.NewWriter(w, flate.DefaultCompression)
-	if err != nil {
-		return "", fmt.Errorf("squeezing: %w", err)
-	}
-	if err := errors.Join(f(msgpack.NewEncoder(z)), z.Close(), w.Close()); err != nil {
-		return "", fmt.Errorf("squeezing: %w", err)
-	}
-	return Packed(b.String()), nil
-}
-
 // ExpandWith lets f read what SqueezeWith wrote, up to limit bytes.
 func (p Packed) ExpandWith(limit int64, f func(*msgpack.Decoder) error) error {
 	z := flate.NewReader(base64.NewDecoder(base64.RawStdEncoding, strings.NewReader(string(p))))
