Keep a cut-off zone's workers to the end of the grant: one named probe, own grant from the last entitlement

Cause, from failing cuts of TestCutZoneWhereverItsWorkersAre step by step: a worker that reached the node inside 11 s into the cut was sent on without a name, tried both nodes outside (5 s each) and came back after 22 s; the grant had ended after 20 s, so its lease ran out before the cut did (42 s). With nothing sent on, 2 of 20 were left: a leader inside counted its own grant from the renewal of its lease, 6 s before it stopped answering, so workers kept last at 16 s lost their lease at 43 s, while they still waited for a node outside.

Now a worker tries one named node, after which it is back, and only if that is before the end of the grant; the leader's own grant counts from the last moment of its entitlement, or its resignation. Ruled out: handovers, lost epochs.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -29,6 +29,8 @@
 	term   *term // nil unless this node holds the leader key
 	keeper *delegation.Keeper
 	from   delegation.Isolation // what this node is cut off from
+	// outside is the node in another zone that workers try before they are kept.
+	outside string
 
 	cut         bool         // some node is out of reach over the mesh
 	stepped     unit.Instant // the last step
@@ -42,7 +44,8 @@
 	rng *rand.Rand, log *slog.Logger, met *Metrics) *Core {
 	times := leadership.Times{Life: pol.LeaseLife, Renew: pol.LeaseRenew, Poll: pol.LeaderPoll}
 	return &Core{set: set, pol: pol, log: log, met: met, budget: budget, clock: clock,
-		lead: leadership.New(set.Label, times, rng), keeper: delegation.NewKeeper(unit.Zone(set.Location), clock.Now())}
+		lead: leadership.New(set.Label, times, rng), keeper: delegation.NewKeeper(unit.Zone(set.Location), clock.Now()),
+		outside: outsideNode(set)}
 }
 
 // Leader is the node that was last seen to lead, or "".
@@ -129,7 +132,7 @@
 		c.emit(LoadAll{Epoch: after})
 	default:
 		c.log.Info("no longer leading", "epoch", before)
-		c.keepOwn(before)
+		c.keepOwn(now, before)
 		c.budget.Lead(now, false)
 		c.term.abandon()
 		c.term = nil
--- a/internal/controller/days_test.go
+++ b/internal/controller/days_test.go
@@ -277,12 +277,14 @@
 	}
 }
 
+var cutSeeds = flag.Uint64("cutseeds", 10, "pairs of cuts of TestCutZoneWhereverItsWorkersAre, each with other luck")
+
 // TestCutZoneWhereverItsWorkersAre is the same whichever nodes the workers report
-// to as the cut begins. A worker that tries each node in turn, four seconds and
-// one each, is sent on once by the node inside, and may come back to it only when
-// its grant has ended.
+// to as the cut begins. A worker waits four seconds for each node out of reach, and
+// a second before the next: sent on without a name by the node inside, it came back
+// only when the grant had ended, and its tasks were lost.
 func TestCutZoneWhereverItsWorkersAre(t *testing.T) {
-	for seed := range uint64(10) {
+	for seed := range *cutSeeds {
 		for _, inside := range []bool{true, false} {
 			cutZone(t, seed, inside)
 		}
--- a/internal/controller/gap_test.go
+++ b/internal/controller/gap_test.go
@@ -6,6 +6,10 @@
 	"testing"
 	"time"
 
+	"badgerbay/internal/config"
+	"badgerbay/internal/delegation"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/leadership"
 	"badgerbay/internal/unit"
 )
 
@@ -149,3 +153,48 @@
 		})
 	}
 }
+
+// TestOwnGrantEndsInTime: what a leader grants itself counts from the last moment
+// at which it was entitled, so a cancellation that its successor confirms comes
+// after that. One that resigns is not entitled for the rest of its lease.
+func TestOwnGrantEndsInTime(t *testing.T) {
+	life := delegation.Life(simSettings().Params.Workers)
+	for _, resigns := range []bool{false, true} {
+		b := newBench(t)
+		c := b.n.core
+		b.lead(t)
+		begun := b.clock.now
+		entitled := c.lead.EntitledUntil()
+		now := begun.Add(time.Second)
+		if resigns {
+			c.leadStep(now, leadership.Resign{Heir: "n1"})
+			if got := c.keeper.Until(); got != now.Add(life) {
+				t.Errorf("resigned at %v, keeps workers until %v", now.Sub(begun), got.Sub(begun))
+			}
+			continue
+		}
+		now = entitled.Add(3 * time.Second)
+		c.Step(now, Reported{Ticket: make(chan ReplyReport, 1), Report: &fleet.Report{Machine: "m1", Zone: "a", Session: 1, Tally: 1}})
+		if got := c.keeper.Until(); got != entitled.Add(life) {
+			t.Errorf("entitled until %v, keeps workers until %v", entitled.Sub(begun), got.Sub(begun))
+		}
+	}
+}
+
+// TestOutsideNode: a worker that its zone's node sends on tries one node outside
+// the zone, and the next in the order of the names is that node again.
+func TestOutsideNode(t *testing.T) {
+	set := &config.Settings{Label: "n2", Location: "a", Peers: []config.Peer{
+		{Label: "n0", Location: "b"}, {Label: "n1", Location: "a"}, {Label: "n3", Location: "b"}}}
+	if got := outsideNode(set); got != "n0" {
+		t.Errorf("workers of n2 try %q", got)
+	}
+	set.Label, set.Peers[0] = "n0", config.Peer{Label: "n2", Location: "b"}
+	if got := outsideNode(set); got != "n3" {
+		t.Errorf("workers of n0 try %q", got)
+	}
+	set.Peers = set.Peers[1:2]
+	if got := outsideNode(set); got != "" {
+		t.Errorf("a node alone names %q", got)
+	}
+}
--- a/internal/controller/keep.go
+++ b/internal/controller/keep.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/unit"
 )
@@ -13,7 +15,7 @@
 // false if the node is not cut off, so that the leader is to answer.
 func (c *Core) keep(now unit.Instant, in Reported) bool {
 	if c.term != nil {
-		c.keepOwn(c.lead.Epoch())
+		c.keepOwn(now, c.lead.Epoch())
 	}
 	switch c.keeper.Judge(now, c.from, in.Report) {
 	case delegation.Keep:
@@ -24,6 +26,8 @@
 		}
 		c.met.Kept.Inc()
 		c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusOK, Epoch: c.keeper.Epoch(), Until: c.keeper.Until(), Final: true})
+	case delegation.Probe:
+		c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusMisdirectedRequest, Leader: c.outside, Final: true})
 	case delegation.SendOn:
 		c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusMisdirectedRequest, Final: true})
 	default:
@@ -33,16 +37,39 @@
 }
 
 // keepOwn grants this node, which led in the epoch, what it would have granted
-// another when it last renewed its lease.
-func (c *Core) keepOwn(epoch unit.Epoch) {
-	until := c.lead.LastEntitled()
-	base := until.Add(-c.pol.LeaseLife)
-	if !c.term.loaded || until == 0 || base == c.keeper.Base() {
+// another at the last moment of its entitlement. Until then nobody else can have
+// confirmed a cancellation, and those that it confirmed itself it knows; who
+// leads next acquires the key later, and counts every grant from there. A leader
+// that resigns is not entitled from that moment on, whatever its lease allows.
+func (c *Core) keepOwn(now unit.Instant, epoch unit.Epoch) {
+	base := min(c.lead.LastEntitled(), now)
+	if !c.term.loaded || base == 0 || base == c.keeper.Base() {
 		return
 	}
 	c.keeper.Take(base, c.term.grant(epoch))
 }
 
+// outsideNode is the last node before this one, in the order of their names, in
+// another zone. A worker that it doesn't answer tries the nodes after it, so it
+// comes back to this zone next; without a name it would try every other node,
+// 5 s each, and be back only when the grant has ended.
+func outsideNode(set *config.Settings) string {
+	labels := append(set.PeerLabels(), set.Label)
+	slices.Sort(labels)
+	zones := map[string]string{set.Label: set.Location}
+	for _, p := range set.Peers {
+		zones[p.Label] = p.Location
+	}
+	own := slices.Index(labels, set.Label)
+	for back := 1; back < len(labels); back++ {
+		label := labels[(own-back+len(labels))%len(labels)]
+		if zones[label] != set.Location {
+			return label
+		}
+	}
+	return ""
+}
+
 // peerAsked says what this node has done by its grant and, if it leads, grants
 // the one that asks the right to keep workers should it be cut off.
 func (c *Core) peerAsked(now unit.Instant, in PeerAsked) {
--- a/internal/delegation/keeper.go
+++ b/internal/delegation/keeper.go
@@ -52,6 +52,7 @@
 const (
 	Pass   Verdict = iota // not cut off: the leader is to answer it
 	SendOn                // cut off, but the worker may reach others
+	Probe                 // likewise: one outside node is tried, and the worker comes back
 	Keep                  // answer it by the grant
 )
 
@@ -73,6 +74,10 @@
 	// tried is how long it counts that a worker was sent on: time for it to
 	// find another node, or to come back.
 	tried = 30 * time.Second
+	// probeTime is how long a worker is away that tries one node in vain: it
+	// goes there within half a second, waits 4 s for an answer and tries the
+	// next node a second later.
+	probeTime = 6 * time.Second
 	// known bounds the workers that are remembered.
 	known = 10_000
 )
@@ -122,8 +127,9 @@
 // Epoch is the epoch of the grant.
 func (k *Keeper) Epoch() unit.Epoch { return k.epoch }
 
-// Judge decides on a report. A worker that may reach another node is sent on
-// once: the leader, if there is one, does better by it.
+// Judge decides on a report. A worker that may reach another node probes one
+// first: the leader, if there is one, does better by it. It must be back before
+// the grant ends, or the probe would cost it the last renewal of its lease.
 func (k *Keeper) Judge(now unit.Instant, cut Isolation, r *fleet.Report) Verdict {
 	if cut == Connected || k.epoch == 0 || now.Sub(k.heard) < lost {
 		return Pass
@@ -132,17 +138,27 @@
 	if !may {
 		return SendOn
 	}
-	if at, ok := k.sent[r.Machine]; cut != Outage && (!ok || now.Sub(at) > tried) {
+	if k.mayProbe(now, cut, r.Machine) {
 		if len(k.sent) > known {
 			clear(k.sent)
 		}
 		k.sent[r.Machine] = now
-		return SendOn
+		return Probe
 	}
 	k.sent[r.Machine], k.last = now, now
 	return Keep
 }
 
+// mayProbe tells whether a worker should look for another node: it has not done
+// so lately, and will be back in time if it finds none.
+func (k *Keeper) mayProbe(now unit.Instant, cut Isolation, id unit.MachineID) bool {
+	if cut == Outage || k.until.Before(now.Add(probeTime)) {
+		return false
+	}
+	at, ok := k.sent[id]
+	return !ok || now.Sub(at) > tried
+}
+
 // Quiet is how long ago, at least, this node kept a worker; what an earlier
 // process of it did was before this one started.
 func (k *Keeper) Quiet(now unit.Instant) time.Duration { return now.Sub(k.QuietSince()) }
--- a/internal/delegation/keeper_test.go
+++ b/internal/delegation/keeper_test.go
@@ -47,8 +47,8 @@
 	if k.Judge(seconds(62), Alone, mine) != Pass || k.Judge(seconds(70), Connected, mine) != Pass {
 		t.Error("a node that is not cut off took a decision of its own")
 	}
-	if k.Judge(seconds(63), Alone, mine) != SendOn || k.Judge(seconds(70), Alone, mine) != Keep {
-		t.Error("a worker must be sent on once, and kept when it is back")
+	if k.Judge(seconds(63), Alone, mine) != Probe || k.Judge(seconds(70), Alone, mine) != Keep {
+		t.Error("a worker must try one other node, and be kept when it is back")
 	}
 	if k.Judge(seconds(71), Outage, report("m3", "a", 7)) != Keep {
 		t.Error("in an outage no other node does better by a worker")
@@ -59,8 +59,11 @@
 			t.Errorf("a worker was kept that %s", what)
 		}
 	}
-	if q := k.Quiet(seconds(75)); q != 4*time.Second {
-		t.Errorf("the last worker was kept %v ago, want 4 s", q)
+	if k.Judge(seconds(73.9), Alone, report("m4", "a", 7)) != Probe || k.Judge(seconds(74.1), Alone, report("m7", "a", 7)) != Keep {
+		t.Error("a worker must try another node only if it is back before the grant ends")
+	}
+	if q := k.Quiet(seconds(78)); q != 3900*time.Millisecond {
+		t.Errorf("the last worker was kept %v ago, want 3.9 s", q)
 	}
 	if k.Judge(seconds(80), Alone, mine) != SendOn {
 		t.Error("a worker was kept after the grant had ended")
