--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -28,6 +28,7 @@
 	Machine unit.MachineID
 	Session unit.Session
 	Attempt unit.Attempt
+	Round   unit.RoundNo // that placed it; 0: an earlier leader did
 	State   PlacementState
 	// Token is the highest token a launch may have been sent under. A report
 	// with a higher one that lacks the task proves that it never will start.
@@ -60,6 +61,7 @@
 	Round    unit.RoundNo // the last committed round that started tasks of it
 
 	Version     unit.Version // of the stored record
+	StoredFirst int          // the number before that of its first part; see Record.Stage
 	Seq, Stored uint64       // changes made, changes stored
 	StoredRound unit.RoundNo
 	StoredPhase Phase
@@ -72,6 +74,7 @@
 
 	Errors    int          // failures in a row
 	GangError unit.Attempt // of a gang, the last that has failed
+	LostAt    unit.Instant // of a gang, since when it lacks a task; 0: it does not
 	NotBefore unit.Instant // no placing before
 	Avoid     map[unit.MachineID]unit.Instant
 	ByZone    map[unit.Zone]int // live placements
--- a/internal/checkpoint/record.go
+++ b/internal/checkpoint/record.go
@@ -16,12 +16,15 @@
 // Schema is the version of Record. A reader refuses a record of a later
 // schema rather than guess what it means; see docs/operations.md. Up to
 // schema 1 the done ranges and the placements were lists; since 2 they are
-// packed, and lists are still read. Schema 3 is that of a record that is
-// compressed and may continue in parts.
-const Schema = 3
-
-// schemaPlain is what is written wherever it fits: the version before reads it.
-const schemaPlain = 2
+// packed, and lists are still read. schemaPlain is written wherever it fits: the
+// version before reads it. A record of schemaParts is compressed and may continue
+// in parts; one of schemaStaged has all but its phase and counts in parts.
+const (
+	Schema       = schemaStaged
+	schemaPlain  = 2
+	schemaParts  = 3
+	schemaStaged = 4
+)
 
 // Phase of a job. Done and Cancelled are final.
 type Phase string
@@ -150,6 +153,9 @@
 	if (r.Schema > schemaPlain) != (r.Overflow != nil) {
 		return nil, errors.New("job record whose schema and parts differ")
 	}
+	if r.Schema == schemaStaged {
+		return r, r.checkStaged()
+	}
 	if r.Overflow != nil {
 		return r, r.check()
 	}
@@ -175,6 +181,15 @@
 	return nil
 }
 
+// checkStaged refuses a staged record that no program writes. Its spec is in the
+// parts.
+func (r *Record) checkStaged() error {
+	if !r.Overflow.valid() {
+		return errors.New("job record that claims impossible parts")
+	}
+	return nil
+}
+
 // NewRecord is the record of a job just accepted.
 func NewRecord(spec Spec, acceptedMs int64) *Record {
 	return &Record{Schema: schemaPlain, Spec: spec, Accepted: acceptedMs, Phase: Active, Next: Place}
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -14,6 +14,7 @@
 	"badgerbay/internal/config"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/leadership"
+	"badgerbay/internal/parts"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
@@ -181,13 +182,13 @@
 
 func (n *Node) loadAll(ctx context.Context, epoch unit.Epoch) {
 	jobs, since, err := n.store.List(ctx, checkpoint.KeyPrefix)
-	var rounds, parts []statestore.Item
+	var rounds, rest []statestore.Item
 	var agreed statestore.Item
 	if n.note(err) == nil {
 		rounds, _, err = n.store.List(ctx, round.KeyPrefix)
 	}
 	if n.note(err) == nil {
-		parts, _, err = n.store.List(ctx, checkpoint.PartPrefix)
+		rest, _, err = n.store.List(ctx, parts.Prefix)
 	}
 	if n.note(err) == nil {
 		agreed, err = n.store.Get(ctx, rollout.Key)
@@ -196,7 +197,7 @@
 		n.log.Warn("records can't be read", "epoch", epoch, "err", err)
 		n.pause(ctx, retryUnsure)
 	}
-	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Jobs: jobs, Rounds: rounds, Parts: parts, Agreed: agreed})
+	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Jobs: jobs, Rounds: rounds, Parts: rest, Agreed: agreed})
 	if err == nil {
 		go n.relayDown(ctx, epoch, since)
 		n.watchJobs(ctx, epoch, since)
@@ -248,13 +249,16 @@
 
 func (n *Node) readJob(ctx context.Context, id unit.JobID) {
 	item, err := n.store.Get(ctx, checkpoint.Key(id))
-	parts := map[int][]byte{}
-	for k := 1; err == nil && k <= checkpoint.Parts(item.Value); k++ {
+	values := map[int][]byte{}
+	for _, k := range checkpoint.PartNumbers(item.Value) {
+		if err != nil {
+			break
+		}
 		var part statestore.Item
 		part, err = n.store.Get(ctx, checkpoint.PartKey(id, k))
-		parts[k] = part.Value
+		values[k] = part.Value
 	}
-	n.post(ctx, JobRead{Job: id, OK: n.note(err) == nil, Item: item, Parts: parts})
+	n.post(ctx, JobRead{Job: id, OK: n.note(err) == nil, Item: item, Parts: values})
 }
 
 // commit applies a transaction of the leader and finds out what became of it.
--- a/internal/controller/folds.go
+++ b/internal/controller/folds.go
@@ -12,7 +12,10 @@
 )
 
 // foldFlight is a fold that is being written.
-type foldFlight struct{ jobs []foldedJob }
+type foldFlight struct {
+	jobs  []foldedJob
+	first int // the number before that of the first part of its records
+}
 
 type foldedJob struct {
 	job   *checkpoint.Job
@@ -27,6 +30,9 @@
 // tooLargeRest is how long a checkpoint that is too large is not tried again.
 const tooLargeRest = 2 * time.Second
 
+// retryStage is how long parts of a record are not sent again after a refusal.
+const retryStage = 200 * time.Millisecond
+
 // maxUrgent bounds the checkpoints of one fold, so that those who wait for
 // changes have their turn in between. In a flood the folds of the jobs just
 // placed took three changes of four, and 440 users needed 50 s to get in.
@@ -54,23 +60,27 @@
 	txn := statestore.Txn{Guards: []statestore.Guard{t.leaderGuard()}}
 	size := 0
 	for _, j := range batch[:n] {
-		rec, parts, err := j.Record(t.epoch).Split(limits.ValueBytes(), t.parts(), statestore.JSONSize)
+		whole := j.Record(t.epoch)
+		rec, rest, err := whole.Split(limits.ValueBytes(), t.parts(), statestore.JSONSize)
 		if err != nil {
-			// It is tried again once some of its tasks have ended, and does not
-			// keep others from their turn.
-			t.tooLarge[j.ID] = now.Add(tooLargeRest)
 			t.c.met.TooLarge.Inc()
-			t.c.log.Error("checkpoint can't be written", "job", j.ID, "err", err, "epoch", t.epoch)
+			if t.beginStage(j, whole) {
+				continue
+			}
+			// It is tried again a little later, and does not keep others from their
+			// turn.
+			t.tooLarge[j.ID] = now.Add(tooLargeRest)
+			t.c.log.Warn("checkpoint is too large for one transaction", "job", j.ID, "err", err, "epoch", t.epoch)
 			continue
 		}
 		size += statestore.JSONSize(rec)
-		if len(f.jobs) > 0 && (size > maxTxn || len(txn.Writes)+1+len(parts) > min(may, limits.TxnOps)) {
+		if len(f.jobs) > 0 && (size > maxTxn || len(txn.Writes)+1+len(rest) > min(may, limits.TxnOps)) {
 			break
 		}
 		key := checkpoint.Key(j.ID)
 		txn.Guards = append(txn.Guards, statestore.Guard{Key: key, Stamp: j.Version})
 		txn.Writes = append(txn.Writes, statestore.Write{Set: key, Value: rec})
-		for i, part := range parts {
+		for i, part := range rest {
 			txn.Writes = append(txn.Writes, statestore.Write{Set: checkpoint.PartKey(j.ID, i+1), Value: part})
 		}
 		f.jobs = append(f.jobs, foldedJob{j, j.Seq, rec.Round, rec.Phase})
@@ -124,7 +134,7 @@
 	t.c.met.Folds.Inc()
 	for _, fj := range f.jobs {
 		j := fj.job
-		j.Version, j.Stored, j.StoredRound, j.StoredPhase = in.Version, fj.seq, fj.round, fj.phase
+		j.Version, j.Stored, j.StoredRound, j.StoredPhase, j.StoredFirst = in.Version, fj.seq, fj.round, fj.phase, f.first
 		if j.Dirty() {
 			j.DirtySince = now
 		}
--- a/internal/controller/forms.go
+++ b/internal/controller/forms.go
@@ -27,16 +27,28 @@
 	return t.limits().TxnOps
 }
 
-// maybeAgree stores that all nodes have this version, once they have said so.
+// roundParts is how many values a round's record may take.
+func (t *term) roundParts() int {
+	if t.cluster.Form() < rollout.Staged {
+		return 1
+	}
+	return t.limits().TxnOps
+}
+
+// maybeAgree stores the latest form that all nodes know, once they have said so.
 func (t *term) maybeAgree(now unit.Instant) {
 	t.c.met.NodesBehind.Set(float64(t.cluster.Behind(now)))
-	if t.c.lead.Raising() || !t.cluster.Due(now) {
+	if t.c.lead.Raising() {
+		return
+	}
+	form := t.cluster.Next(now)
+	if form == 0 {
 		return
 	}
 	t.c.budget.TakeWrites(now, statestore.UseLead, 1)
 	t.c.emit(Commit{Kind: CommitForm, Epoch: t.epoch, Txn: statestore.Txn{
 		Guards: []statestore.Guard{t.leaderGuard(), {Key: rollout.Key, Stamp: t.formStamp}},
-		Writes: []statestore.Write{{Set: rollout.Key, Value: rollout.Agreed{Form: rollout.Newest}}},
+		Writes: []statestore.Write{{Set: rollout.Key, Value: rollout.Agreed{Form: form}}},
 	}})
 }
 
@@ -45,7 +57,7 @@
 	t.cluster.Settle(stored)
 	if stored {
 		t.formStamp = in.Version
-		t.c.log.Info("all nodes have this version", "form", t.cluster.Form(), "epoch", t.epoch)
+		t.c.log.Info("all nodes know a later form of records", "form", t.cluster.Form(), "epoch", t.epoch)
 	}
 }
 
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/rollout"
 	"badgerbay/internal/unit"
 )
 
@@ -19,7 +20,8 @@
 
 // endBroken brings gangs to an end of which some task is gone or told to stop.
 // The tasks that are left make no progress: they wait for what does not come, or
-// have lost a peer. The gang is placed anew once the end of each is proven.
+// have lost a peer. The gang is placed anew once the end of each is proven. One
+// whose lost tasks may still be replaced goes on waiting.
 func (t *term) endBroken(now unit.Instant) {
 	for _, j := range t.jobs {
 		if !j.Spec.Gang || len(j.Live) == 0 || j.Phase.Final() || t.flight != nil && t.flight.jobs[j.ID] {
@@ -31,12 +33,82 @@
 				stopping, leave = true, max(leave, p.Leave)
 			}
 		}
-		if stopping || len(j.Queue) > 0 {
+		if !stopping && !t.hasLostTasks(now, j) {
+			continue
+		}
+		if _, may := t.replacement(now, j); !may {
 			t.haltGang(now, j, leave)
 		}
 	}
 }
 
+// hasLostTasks tells whether a gang lacks tasks, and notes since when.
+func (t *term) hasLostTasks(now unit.Instant, j *checkpoint.Job) bool {
+	switch {
+	case len(j.Queue) == 0:
+		j.LostAt = 0
+	case j.LostAt == 0:
+		j.LostAt, t.dirty = now, true
+	}
+	return len(j.Queue) > 0
+}
+
+const (
+	// replaceWithin is how long a gang that lost a task before it began waits for
+	// a machine that can take the task: longer than the backoff after a refusal.
+	replaceWithin = 3 * time.Second
+	// replaceMargin is what a replacement takes beside its image: the round, the
+	// command and the report.
+	replaceMargin = 3 * time.Second
+)
+
+// replacement is the attempt under which the tasks that a gang has lost may be
+// started again: where none of it has begun, or is told to stop, and a replacement
+// is there before the others give up. What an earlier leader placed is left to end:
+// it is not known since when it waits.
+func (t *term) replacement(now unit.Instant, j *checkpoint.Job) (unit.Attempt, bool) {
+	wait := unit.Seconds(t.c.set.Params.Workers.GangWaitS)
+	if t.cluster.Form() < rollout.Staged || len(j.Live) == 0 || len(j.Queue) == 0 || j.Phase.Final() {
+		return 0, false
+	}
+	attempt, placed := unit.Attempt(0), now
+	for _, p := range j.Live {
+		if p.Halting || p.Ran != 0 || p.State == checkpoint.Flushing || p.Round == 0 || attempt != 0 && p.Attempt != attempt {
+			return 0, false
+		}
+		attempt, placed = p.Attempt, min(placed, p.Since)
+	}
+	begins := now.Add(t.slowestFetch(&j.Spec) + replaceMargin)
+	may := attempt > j.GangError && begins.Before(placed.Add(wait)) && (j.LostAt == 0 || now.Sub(j.LostAt) < replaceWithin)
+	return attempt, may
+}
+
+// slowestFetch is how long the image of a job takes at most.
+func (t *term) slowestFetch(s *checkpoint.Spec) time.Duration {
+	const spread = 4.0 / 3 // rates vary by a third
+	slowest := time.Duration(0)
+	for _, typ := range t.c.types {
+		if typ.FetchGBps > 0 {
+			slowest = max(slowest, unit.Seconds(spread*s.ImageGB/typ.FetchGBps))
+		}
+	}
+	return slowest
+}
+
+// replaceable lists the gangs whose lost tasks may be replaced, with the attempts.
+func (t *term) replaceable(now unit.Instant) map[unit.JobID]unit.Attempt {
+	out := map[unit.JobID]unit.Attempt{}
+	for id, j := range t.jobs {
+		if !j.Spec.Gang {
+			continue
+		}
+		if attempt, may := t.replacement(now, j); may {
+			out[id] = attempt
+		}
+	}
+	return out
+}
+
 // gangFailed backs a gang off that was not complete in time or has lost a task,
 // once for an attempt. No machine is blamed: which of them is at fault is not
 // known.
--- a/internal/controller/gangs_test.go
+++ b/internal/controller/gangs_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/rental"
 	"badgerbay/internal/unit"
 )
 
@@ -144,3 +146,134 @@
 	}
 	s.finish()
 }
+
+// TestGangMakesWay: lower gangs are stopped whole for a higher one, and all their
+// tasks are told soon enough to save together, over slow links too.
+func TestGangMakesWay(t *testing.T) {
+	for _, delay := range []time.Duration{0, 2 * sec} {
+		s := newSim(t, 21)
+		s.linkDelay = delay
+		clear(s.cloud.Capacity)
+		s.cloud.Capacity[rental.Offer{Type: "large", Zone: "a"}] = 2
+		low := gang
+		low.Priority, low.Tasks, low.CPUs = checkpoint.BestEffort, 4, 4 // both machines hold it together
+		low.Team = "red"
+		wide := low
+		wide.Tasks = 4
+		first := s.submit(1, low, 10*time.Minute)
+		second := s.submit(2, wide, 10*time.Minute)
+		s.run(40 * sec)
+		high := gang
+		high.Priority, high.Tasks, high.CPUs, high.Team = checkpoint.High, 3, 4, "blue"
+		id := s.submit(3, high, 20*time.Second)
+		s.run(45 * sec)
+		if s.jobs[id].began == 0 {
+			t.Errorf("delay %v: the higher gang has not begun", delay)
+		}
+		stopped := 0
+		for _, low := range []unit.JobID{first, second} {
+			n := s.exits[low]
+			if n.saved > 0 {
+				stopped++
+			}
+			if n.saved%low4 != 0 || n.peers > 0 || n.incomplete > 0 {
+				t.Errorf("delay %v: %s was stopped with %+v", delay, low, n)
+			}
+		}
+		if stopped != 1 {
+			t.Errorf("delay %v: %d gangs were stopped, one is enough", delay, stopped)
+		}
+		s.withdraw(first)
+		s.withdraw(second)
+		s.run(sec)
+		s.finish()
+	}
+}
+
+// low4 is how many tasks each of the gangs that make way has.
+const low4 = 4
+
+// TestLostTaskIsReplacedInTime: a task that a gang loses before it has begun is
+// started again under its attempt, and the gang begins without being placed anew.
+// After a takeover, or with too little time left, the gang ends and is placed anew.
+func TestLostTaskIsReplacedInTime(t *testing.T) {
+	for what, meanwhile := range map[string]func(*sim){
+		"in time":       func(*sim) {},
+		"lost twice":    func(*sim) {},
+		"takeover":      func(s *sim) { s.run(600 * time.Millisecond); s.crashLeader(sec) },
+		"late":          func(*sim) {},
+		"version first": func(*sim) {},
+	} {
+		s := newSim(t, 8)
+		switch what {
+		case "version first":
+			s.before = map[int]bool{0: true, 1: true, 2: true}
+		case "late":
+			s.set.Params.Workers.GangWaitS = 1
+			for _, n := range s.nodes {
+				s.crash(n, time.Millisecond)
+			}
+		}
+		// What ran before leaves machines that are up.
+		before := batch
+		before.Tasks, before.CPUs, before.Spread, before.Spot = 6, 6, true, false
+		s.submit(9, before, 3*time.Second)
+		for range 600 {
+			if s.run(50 * time.Millisecond); s.jobs["wk-000009"].told == intake.Done {
+				break
+			}
+		}
+		g := gang
+		g.Spread, g.OneZone, g.CPUs = true, false, 4
+		g.ImageGB = 0
+		id := s.submit(1, g, 30*time.Second)
+		placed := func() *checkpoint.Job {
+			for range 400 {
+				s.run(50 * time.Millisecond)
+				if l := s.leader(); l != nil && l.core.term.jobs[id] != nil && len(l.core.term.jobs[id].Live) == g.Tasks {
+					return l.core.term.jobs[id]
+				}
+			}
+			t.Fatalf("%s: the gang is not placed", what)
+			return nil
+		}
+		placed()
+		meanwhile(s)
+		j := placed()
+		tm := s.leader()
+		attempt := j.Live[0].Attempt
+		lose := func() {
+			p := j.Live[0]
+			if p == nil {
+				t.Fatalf("%s: task 0 is not placed", what)
+			}
+			s.take(p.Machine)
+			tm.core.term.ended(s.now, tm.core.term.fleet.Remove(s.now, p.Machine))
+		}
+		lose()
+		replaced := func() bool {
+			for range 60 {
+				s.run(50 * time.Millisecond)
+				if p := j.Live[0]; p != nil && p.Attempt == attempt && p.Launch {
+					return true
+				}
+			}
+			return false
+		}
+		want := what == "in time" || what == "lost twice"
+		if got := replaced(); got != want {
+			t.Errorf("%s: replaced under the attempt %v, want %v", what, got, want)
+		}
+		if what == "lost twice" {
+			lose()
+			if !replaced() {
+				t.Errorf("%s: not replaced a second time", what)
+			}
+		}
+		s.run(60 * sec)
+		s.finish()
+		if n := s.exits[id]; want && n.incomplete > 0 {
+			t.Errorf("%s: the gang gave up: %+v", what, n)
+		}
+	}
+}
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -142,6 +142,7 @@
 	CommitRound CommitKind = iota
 	CommitFold
 	CommitForm
+	CommitStage
 )
 
 // Effect is what the core asks for.
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -24,7 +24,7 @@
 // proposed tells whether a placement belongs to the round under way: its
 // launch has not left, and won't before the record is stored.
 func (t *term) proposed(p *checkpoint.Placement) bool {
-	return t.flight != nil && p.Attempt == unit.Attempt(t.flight.record.No)
+	return t.flight != nil && p.Round == t.flight.record.No
 }
 
 // leaderGuard fences a transaction: once another epoch has begun it fails.
@@ -92,38 +92,52 @@
 		j := t.jobs[s.Job]
 		f.jobs[s.Job] = true
 		s.Tasks.Each(func(i unit.TaskIndex) bool {
-			p := &checkpoint.Placement{Job: j, Task: i, Machine: s.Machine, Session: s.Session, Attempt: unit.Attempt(r.No), Since: now}
+			p := &checkpoint.Placement{Job: j, Task: i, Machine: s.Machine, Session: s.Session, Attempt: s.AttemptIn(r.No), Round: r.No, Since: now}
 			t.fleet.Place(now, p)
 			f.places = append(f.places, p)
 			return true
 		})
 	}
-	r.Releases = t.releasable(now, plan.Keep, t.limits().ValueBytes()-r.SizeOf())
+	r.Releases = t.releasable(now, plan.Keep, max(0, t.limits().ValueBytes()-r.SizeOf()))
 	if r.Empty() {
 		return
 	}
 	r.Low = min(t.ring.Low(), r.No)
-	if !t.c.budget.TakeWrites(now, statestore.UseRound, 1) {
+	writes, err := t.roundWrites(r)
+	if err != nil {
+		t.c.met.TooLarge.Inc()
+		t.c.log.Error("round can't be written", "round", r.No, "err", err, "epoch", t.epoch)
 		t.undo(now, f)
 		return
 	}
-	for _, id := range r.Releases {
-		t.fleet.Machine(id).Releasing = true
-	}
-	stored, err := r.Encode()
-	if err != nil {
-		t.c.log.Error("round can't be written", "round", r.No, "err", err, "epoch", t.epoch)
+	if !t.c.budget.TakeWrites(now, statestore.UseRound, len(writes)) {
 		t.undo(now, f)
 		return
 	}
+	for _, id := range r.Releases {
+		t.fleet.Machine(id).Releasing = true
+	}
 	t.flight = f
-	key := t.ring.Key(r.No)
 	t.c.emit(Commit{Kind: CommitRound, Epoch: t.epoch, Txn: statestore.Txn{
-		Guards: []statestore.Guard{t.leaderGuard(), {Key: key, Stamp: t.ring.Version(r.No)}},
-		Writes: []statestore.Write{{Set: key, Value: stored}},
+		Guards: []statestore.Guard{t.leaderGuard(), {Key: writes[0].Set, Stamp: t.ring.Version(r.No)}},
+		Writes: writes,
 	}})
 }
 
+// roundWrites are the changes that store a round: its record, and the parts of it.
+func (t *term) roundWrites(r *round.Record) ([]statestore.Write, error) {
+	key := t.ring.Key(r.No)
+	stored, rest, err := r.Split(t.limits().ValueBytes(), t.roundParts(), statestore.JSONSize)
+	if err != nil {
+		return nil, err
+	}
+	writes := []statestore.Write{{Set: key, Value: stored}}
+	for i, part := range rest {
+		writes = append(writes, statestore.Write{Set: round.PartKey(key, i+1), Value: part})
+	}
+	return writes, nil
+}
+
 // undo takes back a round that surely was not stored.
 func (t *term) undo(now unit.Instant, f *flight) {
 	for _, p := range f.places {
@@ -156,6 +170,8 @@
 		t.foldCommitted(now, in)
 	case CommitForm:
 		t.formCommitted(now, in)
+	case CommitStage:
+		t.stageCommitted(now, in)
 	}
 }
 
@@ -218,7 +234,7 @@
 		Policy:  t.c.pol, Expect: t.expect, Spares: t.spares(), Typical: t.typical(),
 		MayVacate:  now.Sub(max(t.lastVacate, t.acquired)) >= t.c.pol.VacateEvery && !t.c.cut,
 		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.desk.Pending()) < 4,
-		ValueBytes: t.limits().ValueBytes(), Parts: t.parts(), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
+		ValueBytes: t.limits().ValueBytes(), Parts: t.parts(), RoundParts: t.roundParts(), Replace: t.replaceable(now), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
 	w.Active = func(team unit.Team) bool {
 		last, ok := t.lastWork[team]
 		return ok && now.Sub(last) <= t.c.pol.GuaranteeHold
--- a/internal/controller/sim_users_test.go
+++ b/internal/controller/sim_users_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
 	"badgerbay/internal/intake"
 	"badgerbay/internal/standin"
 	"badgerbay/internal/statestore"
@@ -61,6 +62,23 @@
 	}
 }
 
+// exitCounts are how a gang's tasks have left their machines.
+type exitCounts struct{ saved, peers, incomplete int }
+
+// exited counts how a gang's task has left its machine.
+func (s *sim) exited(id unit.TaskID, task *standin.Task) {
+	n := s.exits[id.Job]
+	switch {
+	case task.Stored:
+		n.saved++
+	case task.Cause == fleet.CausePeers:
+		n.peers++
+	case task.Cause == fleet.CauseIncomplete:
+		n.incomplete++
+	}
+	s.exits[id.Job] = n
+}
+
 func (s *sim) anyOn(id unit.JobID) bool {
 	for task := range s.on {
 		if task.Job == id {
--- a/internal/controller/sim_world_test.go
+++ b/internal/controller/sim_world_test.go
@@ -148,6 +148,7 @@
 	}) {
 		w.Fetch = time.Second
 		w.Seen = s.seen
+		w.Exit = s.exited
 		w.Spec = func(id unit.JobID) (*checkpoint.Spec, time.Duration, bool) {
 			j := s.jobs[id]
 			if j == nil || !j.submitted {
--- /dev/null
+++ b/internal/controller/stage.go
@@ -0,0 +1,112 @@
+package controller
+
+import (
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/parts"
+	"badgerbay/internal/rollout"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// stageKey is changed by each transaction that stores parts of a record which
+// takes several. Its stamp guards them: a late copy of one fails, so it can't
+// overwrite parts of a later record.
+const stageKey = parts.Prefix + "stage"
+
+// staged is the value of stageKey.
+type staged struct {
+	Job  unit.JobID `msgpack:"j" json:"j"`
+	Part int        `msgpack:"n" json:"n"` // the first that was written with it
+}
+
+// stage is a record that is too large for one transaction and is being written in
+// several: its parts, then the record itself, by which they come to count. There is
+// at most one at a time.
+type stage struct {
+	stamp   unit.Version // of stageKey
+	job     *checkpoint.Job
+	head    *checkpoint.Record
+	rest    []*parts.Part
+	written int // parts that are stored
+	sending int // parts under way; 0: none
+	final   foldedJob
+}
+
+// beginStage begins to write a record in several transactions, if all nodes can
+// read it. It tells whether it did.
+func (t *term) beginStage(j *checkpoint.Job, rec *checkpoint.Record) bool {
+	if t.stage.job != nil || t.cluster.Form() < rollout.Staged {
+		return false
+	}
+	head, rest, err := rec.Stage(t.limits().ValueBytes(), j.StoredFirst)
+	if err != nil {
+		t.c.log.Error("checkpoint can't be written in parts", "job", j.ID, "err", err, "epoch", t.epoch)
+		return false
+	}
+	t.c.log.Info("checkpoint is written in several transactions", "job", j.ID, "parts", len(rest), "epoch", t.epoch)
+	t.stage = stage{stamp: t.stage.stamp, job: j, head: head, rest: rest, final: foldedJob{j, j.Seq, rec.Round, rec.Phase}}
+	j.Writing = true
+	return true
+}
+
+// maybeStage sends the next parts of a record, as far as the budget goes. Folds
+// wait meanwhile: they write job records too.
+func (t *term) maybeStage(now unit.Instant) {
+	s := &t.stage
+	if s.job == nil || s.sending > 0 || t.fold != nil || t.c.lead.Raising() || now.Before(t.retryFold) {
+		return
+	}
+	if s.written == len(s.rest) {
+		t.writeHead(now)
+		return
+	}
+	n := min(len(s.rest)-s.written, t.limits().TxnOps-1, t.c.budget.WritesFor(now, statestore.UseUrgentFold)-1)
+	if n <= 0 {
+		return
+	}
+	first := s.head.Overflow.First + s.written + 1
+	txn := statestore.Txn{
+		Guards: []statestore.Guard{t.leaderGuard(), {Key: stageKey, Stamp: s.stamp}},
+		Writes: []statestore.Write{{Set: stageKey, Value: staged{s.job.ID, first}}},
+	}
+	for i, part := range s.rest[s.written : s.written+n] {
+		txn.Writes = append(txn.Writes, statestore.Write{Set: checkpoint.PartKey(s.job.ID, first+i), Value: part})
+	}
+	s.sending = n
+	t.c.budget.Spend(now, len(txn.Writes))
+	t.c.emit(Commit{Kind: CommitStage, Epoch: t.epoch, Txn: txn})
+}
+
+// writeHead stores the record itself, as a fold of its own.
+func (t *term) writeHead(now unit.Instant) {
+	s := &t.stage
+	if t.c.budget.WritesFor(now, statestore.UseUrgentFold) < 1 {
+		return
+	}
+	t.c.budget.Spend(now, 1)
+	t.fold = &foldFlight{jobs: []foldedJob{s.final}, first: s.head.Overflow.First}
+	key := checkpoint.Key(s.job.ID)
+	t.c.emit(Commit{Kind: CommitFold, Epoch: t.epoch, Txn: statestore.Txn{
+		Guards: []statestore.Guard{t.leaderGuard(), {Key: key, Stamp: s.job.Version}},
+		Writes: []statestore.Write{{Set: key, Value: s.head}},
+	}})
+	t.stage = stage{stamp: s.stamp}
+}
+
+// stageCommitted takes in that parts were stored, or gives the record up: it is
+// begun anew, under the stamp that stageKey has then.
+func (t *term) stageCommitted(now unit.Instant, in Committed) {
+	s := &t.stage
+	if s.job == nil || s.sending == 0 {
+		return
+	}
+	if in.Outcome == leadership.OK {
+		s.stamp = in.Version
+		s.written += s.sending
+		s.sending = 0
+		return
+	}
+	s.sending = 0
+	t.retryFold = now.Add(retryStage)
+}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -62,6 +62,7 @@
 	waiting    map[unit.JobID][]waiter
 	parked     []parked
 	tooLarge   map[unit.JobID]unit.Instant // checkpoints not to be tried before
+	stage      stage
 	reach      reach
 	found      unit.Instant // when a machine that was silent for too long was last heard again
 	ledger     *delegation.Ledger
@@ -211,6 +212,7 @@
 	t.reconciled(now)
 	t.maybeAgree(now)
 	t.maybeRaise(now)
+	t.maybeStage(now)
 	t.maybeFold(now)
 	t.maybeRound(now)
 	t.callCloud(now)
@@ -243,8 +245,13 @@
 		t.addJob(now, id, item, func(n int) []byte { return parts[checkpoint.PartKey(id, n)] })
 	}
 	var stored []round.Stored
+	for _, item := range in.Parts {
+		if item.Key == stageKey {
+			t.stage.stamp = item.Stamp
+		}
+	}
 	for _, item := range in.Rounds {
-		r, err := round.Decode(item.Value)
+		r, err := round.Decode(item.Value, func(n int) []byte { return parts[round.PartKey(item.Key, n)] })
 		if err != nil {
 			t.unreadable(item.Key, err)
 			continue
@@ -278,6 +285,7 @@
 		return
 	}
 	j := checkpoint.NewJob(id, r, item.Stamp, now)
+	j.StoredFirst = checkpoint.FirstPart(item.Value)
 	t.jobs[id] = j
 	if old := t.lastSpec[r.Spec.Class]; old == nil || r.Phase == checkpoint.Active {
 		t.lastSpec[r.Spec.Class] = &j.Spec
@@ -299,7 +307,7 @@
 			t.ring.Folded(s.Job, r.No)
 			continue
 		}
-		t.restore(now, j, checkpoint.Group{Machine: s.Machine, Session: s.Session, Attempt: unit.Attempt(r.No), Tasks: s.Tasks})
+		t.restore(now, j, checkpoint.Group{Machine: s.Machine, Session: s.Session, Attempt: s.AttemptIn(r.No), Tasks: s.Tasks})
 		j.Round = max(j.Round, r.No)
 		j.Touch(now)
 	}
@@ -323,10 +331,11 @@
 			return true
 		}
 		if old := j.Live[i]; old != nil {
-			if old.Attempt >= g.Attempt {
+			if old.Attempt > g.Attempt {
 				return true
 			}
-			// The later attempt was decided when the earlier was over.
+			// The later was decided when the earlier was over: another attempt, or
+			// a replacement in a gang's. Rounds are replayed in their order.
 			t.fleet.Withdraw(now, old)
 		}
 		p := &checkpoint.Placement{Job: j, Task: i, Machine: g.Machine, Session: g.Session,
@@ -569,7 +578,7 @@
 	// Only we change records, under the guard of our epoch: this is a write
 	// of ours whose answer was lost. Write again, on top of it.
 	t.c.met.CASConflicts.Inc()
-	j.Version = in.Item.Stamp
+	j.Version, j.StoredFirst = in.Item.Stamp, checkpoint.FirstPart(in.Item.Value)
 	if r, err := checkpoint.Decode(in.Item.Value); err == nil && r.Phase.Final() {
 		if !j.Phase.Final() {
 			j.Phase, j.Queue = r.Phase, nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -276,6 +276,17 @@
 // HasImage tells whether the image is known to be on the machine.
 func (m *Machine) HasImage(i unit.Image) bool { _, ok := m.images[i]; return ok }
 
+// Knows tells whether a task of the job was placed here in the attempt, and its
+// exit may still be on the machine.
+func (m *Machine) Knows(job unit.JobID, attempt unit.Attempt) bool {
+	for k := range m.places {
+		if k.task.Job == job && k.attempt == attempt {
+			return true
+		}
+	}
+	return false
+}
+
 // Load returns the counts of the placements that may exist on the machine.
 func (m *Machine) Load() *Load { return &m.live }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -22,8 +22,11 @@
 	First Form = 1
 	// Parts: a job's record may be compressed, and continue in numbered parts.
 	Parts Form = 2
+	// Staged: a round's record may continue in parts and name the attempts of its
+	// starts; a job's record may be written in several transactions.
+	Staged Form = 3
 	// Newest is what this program can.
-	Newest = Parts
+	Newest = Staged
 )
 
 // Agreed is the value of Key.
@@ -38,9 +41,9 @@
 // Cluster is what a leader knows of the nodes' versions.
 type Cluster struct {
 	heard  map[string]heard
-	agreed Form
-	stored bool // so is the agreement
-	asked  bool // it is being stored
+	agreed Form // what may be used
+	stored Form // what a successor finds
+	asked  Form // what is being stored; 0: nothing
 }
 
 type heard struct {
@@ -50,7 +53,7 @@
 
 // New returns the cluster of the peers, with what is stored; 0: nothing.
 func New(peers []string, stored Form) *Cluster {
-	c := &Cluster{heard: map[string]heard{}, agreed: max(First, stored), stored: stored >= Newest}
+	c := &Cluster{heard: map[string]heard{}, agreed: max(First, stored), stored: stored}
 	for _, p := range peers {
 		c.heard[p] = heard{}
 	}
@@ -72,31 +75,49 @@
 func (c *Cluster) Behind(now unit.Instant) int {
 	n := 0
 	for _, h := range c.heard {
-		if h.form < Newest || now.Sub(h.at) > fresh {
+		if h.formAt(now) < Newest {
 			n++
 		}
 	}
 	return n
 }
 
-// Due tells whether a later form is to be stored as agreed on, and notes that it
-// is being stored.
-func (c *Cluster) Due(now unit.Instant) bool {
-	if c.asked || c.stored || c.agreed < Newest && c.Behind(now) > 0 {
-		return false
+// formAt is the form that the node surely can at now.
+func (h heard) formAt(now unit.Instant) Form {
+	if now.Sub(h.at) > fresh {
+		return First
 	}
-	c.asked = true
-	return true
+	return max(First, h.form)
 }
 
-// Settle takes in whether the agreement was stored.
+// common is the latest form that all nodes have lately said that they can.
+func (c *Cluster) common(now unit.Instant) Form {
+	form := Newest
+	for _, h := range c.heard {
+		form = min(form, h.formAt(now))
+	}
+	return form
+}
+
+// Next is a later form that is to be stored as agreed on, and notes that it is
+// being stored; 0: there is none.
+func (c *Cluster) Next(now unit.Instant) Form {
+	form := max(c.agreed, c.common(now))
+	if c.asked != 0 || form <= max(First, c.stored) {
+		return 0
+	}
+	c.asked = form
+	return form
+}
+
+// Settle takes in whether the form that was asked for was stored.
 func (c *Cluster) Settle(stored bool) {
-	c.asked = false
 	if stored {
-		c.agreed, c.stored = max(c.agreed, Newest), true
+		c.agreed, c.stored = max(c.agreed, c.asked), c.asked
 	}
+	c.asked = 0
 }
 
 // Lowered takes in that the state service keeps to its later limits: it does so
-// only once all nodes have the later version.
-func (c *Cluster) Lowered() { c.agreed = max(c.agreed, Newest) }
+// only once all nodes have a version that knows them. They need not have this one.
+func (c *Cluster) Lowered() { c.agreed = max(c.agreed, Parts) }
--- a/internal/round/gang.go
+++ b/internal/round/gang.go
@@ -1,10 +1,13 @@
 package round
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/fleet"
+	"badgerbay/internal/parts"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/unit"
 )
@@ -19,28 +22,64 @@
 // is free or coming in one zone, as long as that zone can hold it, so that tasks
 // that come one by one do not fill each hole before it. It returns how many
 // tasks machines must be rented for: those of the whole gang that its zone lacks.
-func (p *planner) placeGang(j *checkpoint.Job) int {
-	n := j.Queue.Len()
-	// What is left of an earlier attempt must be over first: it stays on its
-	// machines, and in its zone.
-	if len(j.Live) > 0 || p.full {
+func (p *planner) placeGang(t turn) int {
+	j := t.job
+	if p.full {
+		return 0
+	}
+	if len(j.Live) > 0 {
+		p.replaceInGang(j)
 		return 0
 	}
+	n := j.Queue.Len()
 	if may := p.quota(j); may < n {
 		// It holds no machine, but what is left of its team's limit: else tasks
 		// of its team that come one by one would take each bit as it comes free.
 		p.usage[j.Spec.Team] = p.usage[j.Spec.Team].Plus(j.Spec.Need().Times(may))
 		return 0
 	}
-	if parts := p.fitGang(j, p.ranked(j)); parts != nil {
-		for _, part := range parts {
-			p.start(j, part.b, part.tasks)
-		}
+	if found := p.fitGang(j, p.ranked(j)); found != nil {
+		p.startGang(j, found, 0)
 		return 0
 	}
 	p.plan.Short += n
 	p.demand[j.Spec.Class] += n
-	return p.holdForGang(j, n)
+	return p.holdForGang(j, n, t.guaranteed)
+}
+
+// replaceInGang starts the tasks again that a gang lost before it began, under the
+// attempt that the others wait in. What is left of any other attempt must be over
+// first: it stays on its machines, and in its zone.
+func (p *planner) replaceInGang(j *checkpoint.Job) {
+	attempt, may := p.w.Replace[j.ID]
+	if !may || p.quota(j) < j.Queue.Len() {
+		return
+	}
+	// A machine that still knows an exit of this attempt would ignore the launch.
+	bins := slices.DeleteFunc(p.ranked(j), func(b *bin) bool { return b.m.Knows(j.ID, attempt) })
+	if found := p.fitGang(j, bins); found != nil {
+		p.startGang(j, found, attempt)
+	}
+}
+
+// startGang records the starts of a gang in an attempt; 0: that of the round. If
+// the round has no room left for them, but a new one would, that one takes them.
+func (p *planner) startGang(j *checkpoint.Job, found []gangPart, attempt unit.Attempt) {
+	size := 0
+	for _, part := range found {
+		st := startOf(j, part.b, part.tasks)
+		size += st.SizeOf()
+	}
+	fitsAlone := p.plan.Record.headSize()+size+2*hireSize <= p.w.ValueBytes
+	if fitsAlone && p.size+size+2*hireSize > p.w.ValueBytes {
+		p.full = true
+		return
+	}
+	for _, part := range found {
+		st := startOf(j, part.b, part.tasks)
+		st.Attempt = attempt
+		p.record(j, part.b, st, len(part.tasks))
+	}
 }
 
 // gangZones are the zones that a gang may be in, one for each choice; "" stands
@@ -55,12 +94,23 @@
 	return p.w.Zones
 }
 
-// fitGang finds room for all tasks of a gang, in one zone if it must be, within
-// what the job's record and the round's still hold. It returns nil if there is
-// none. bins are in the order of preference; the zone of the first that holds
-// the gang is taken.
+// fitGang finds room for all queued tasks of a gang, in one zone if it must be,
+// within what the job's record and the round's hold. It returns nil if there is
+// none. bins are in the order of preference; the zone of the first that holds the
+// gang is taken. Where the records don't hold that many machines, those that take
+// most tasks are tried first.
 func (p *planner) fitGang(j *checkpoint.Job, bins []*bin) []gangPart {
-	zones := p.gangZones(j)
+	if found := p.fitGangZone(j, bins); found != nil {
+		return found
+	}
+	need := j.Spec.Need()
+	roomiest := slices.Clone(bins)
+	slices.SortStableFunc(roomiest, func(x, y *bin) int { return cmp.Compare(fitCount(y.free, need), fitCount(x.free, need)) })
+	return p.fitGangZone(j, roomiest)
+}
+
+func (p *planner) fitGangZone(j *checkpoint.Job, bins []*bin) []gangPart {
+	zones := []unit.Zone{""}
 	if j.Spec.OneZone {
 		zones = nil
 		for _, b := range bins {
@@ -70,8 +120,8 @@
 		}
 	}
 	for _, z := range zones {
-		if parts := p.fitGangIn(j, bins, z); parts != nil {
-			return parts
+		if found := p.fitGangIn(j, bins, z); found != nil {
+			return found
 		}
 	}
 	return nil
@@ -80,8 +130,8 @@
 func (p *planner) fitGangIn(j *checkpoint.Job, bins []*bin, zone unit.Zone) []gangPart {
 	var tasks []unit.TaskIndex
 	j.Queue.Each(func(i unit.TaskIndex) bool { tasks = append(tasks, i); return true })
-	var parts []gangPart
-	room, size, used := p.room(j), p.size, map[unit.Zone]int{}
+	var found []gangPart
+	room, size, used := p.room(j), p.plan.Record.headSize()+2*hireSize, map[unit.Zone]int{}
 	for _, b := range bins {
 		if zone != "" && b.zone != zone {
 			continue
@@ -92,45 +142,67 @@
 			continue
 		}
 		st := startOf(j, b, tasks[:n])
-		size += st.SizeOf()
-		if size+2*hireSize > p.w.ValueBytes {
+		size += st.nextSize()
+		if size > p.gangBytes() {
 			return nil
 		}
-		parts = append(parts, gangPart{b, tasks[:n]})
+		found = append(found, gangPart{b, tasks[:n]})
 		used[b.zone] += n
 		room -= j.Cost(b.m.ID, n)
 		if tasks = tasks[n:]; len(tasks) == 0 {
-			return parts
+			return found
 		}
 	}
 	return nil
 }
 
+// gangBytes is how large the record of a round may be that starts a gang: as large
+// as all values that one transaction holds, where nodes know parts.
+func (p *planner) gangBytes() int {
+	return p.w.ValueBytes + parts.Capacity(p.w.ValueBytes, p.w.RoundParts-1)
+}
+
 // holdForGang picks the zone that lacks least for a gang and keeps what is free
 // and coming there for it. It returns for how many tasks machines are missing,
 // and notes that these must be rented in that zone.
-func (p *planner) holdForGang(j *checkpoint.Job, n int) int {
-	best, zone, found := -1, unit.Zone(""), false
-	for _, z := range p.gangZones(j) {
-		have := p.gangRoom(j, z)
-		// Where it can't be completed it holds nothing, unless machines that
-		// others use now are enough for it.
-		if have < n && !p.canRent(j, z) && p.gangCapacity(j, z) < n {
-			continue
-		}
-		if have > best {
-			best, zone, found = have, z, true
-		}
-	}
-	if !found {
+func (p *planner) holdForGang(j *checkpoint.Job, n int, guaranteed bool) int {
+	zones := p.feasibleZones(j, n)
+	if len(zones) == 0 {
 		return 0
 	}
-	if best < n && p.mayPreempt(j) {
-		p.makeRoomForGang(j, zone, n-best)
+	best := zones[0]
+	lacks := max(0, n-best.room)
+	if lacks > 0 && (guaranteed || p.mayPreempt(j)) {
+		for _, z := range zones {
+			if p.makeRoomForGang(j, z.zone, n) {
+				return 0
+			}
+		}
 	}
-	p.keepForGang(j, zone, n)
-	p.gangZone[j] = zone
-	return max(0, n-best)
+	p.keepForGang(j, best.zone, n)
+	p.gangZone[j] = best.zone
+	return lacks
+}
+
+// gangZone is a zone with the number of a gang's tasks that it has room for.
+type gangZone struct {
+	zone unit.Zone
+	room int
+}
+
+// feasibleZones lists the zones that can come to hold n tasks of a gang, the one
+// that lacks least first. A zone that can't be completed holds nothing, unless the
+// machines that others use now are enough for the gang.
+func (p *planner) feasibleZones(j *checkpoint.Job, n int) []gangZone {
+	var out []gangZone
+	for _, z := range p.gangZones(j) {
+		room := p.gangRoom(j, z)
+		if room >= n || p.canRent(j, z) || p.gangCapacity(j, z) >= n {
+			out = append(out, gangZone{z, room})
+		}
+	}
+	slices.SortStableFunc(out, func(x, y gangZone) int { return cmp.Compare(y.room, x.room) })
+	return out
 }
 
 // eachGangBin calls f for the machines of a zone that the gang may use, those
@@ -185,22 +257,44 @@
 	})
 }
 
-// makeRoomForGang stops what yields to a gang in one zone, if that makes room
-// for all n tasks that lack it: a part would be stopped for nothing.
-func (p *planner) makeRoomForGang(j *checkpoint.Job, zone unit.Zone, n int) {
-	yields := 0
-	p.eachGangBin(j, zone, func(b *bin) {
-		if b.m != nil {
-			free := b.free.Plus(b.later)
-			yields += fitCount(free.Plus(p.below(&j.Spec, b)), j.Spec.Need()) - fitCount(b.free, j.Spec.Need())
-		}
-	})
-	if yields < n {
-		return
-	}
+// makeRoomForGang stops what yields to a gang in one zone, if that makes room for
+// all n tasks there with what is free, and tells whether it does. A part would be
+// stopped for nothing; machines that are coming may never come, and don't count.
+func (p *planner) makeRoomForGang(j *checkpoint.Job, zone unit.Zone, n int) bool {
 	there := *j // the same gang, bound to the zone
 	if zone != "" {
 		there.Spec.Zone = zone
 	}
-	p.makeRoom(&there, n, false)
+	before := p.save()
+	if p.makeRoom(&there, n, false) == n {
+		return true
+	}
+	p.restore(before)
+	return false
+}
+
+// saved is what making room changes of a plan.
+type saved struct {
+	stops  int
+	taken  map[*checkpoint.Placement]bool
+	usage  map[unit.Team]checkpoint.Resources
+	giving map[unit.Team]checkpoint.Resources
+	free   []checkpoint.Resources // of each bin
+	later  []checkpoint.Resources
+}
+
+func (p *planner) save() saved {
+	s := saved{stops: len(p.plan.Stops), taken: maps.Clone(p.taken), usage: maps.Clone(p.usage), giving: maps.Clone(p.giving)}
+	for _, b := range p.bins {
+		s.free, s.later = append(s.free, b.free), append(s.later, b.later)
+	}
+	return s
+}
+
+func (p *planner) restore(s saved) {
+	p.plan.Stops = p.plan.Stops[:s.stops]
+	p.taken, p.usage, p.giving = s.taken, s.usage, s.giving
+	for i, b := range p.bins {
+		b.free, b.later = s.free[i], s.later[i]
+	}
 }
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -42,7 +42,11 @@
 	Policy     *policy.Policy
 	ValueBytes int
 	Parts      int // values that a job's record may take
-	SpecSize   func(*checkpoint.Job) int
+	RoundParts int // values that a round's record may take
+	// Replace names the attempt of gangs that wait for tasks which were lost before
+	// they began; these may be replaced.
+	Replace  map[unit.JobID]unit.Attempt
+	SpecSize func(*checkpoint.Job) int
 }
 
 // Stop is a placement to be stopped to make room.
@@ -107,6 +111,8 @@
 	size int
 	bins []*bin
 	come []*bin
+	// byMachine finds the bins of machines; see binOf.
+	byMachine map[unit.MachineID]*bin
 	// usage counts all placements that may exist. What is told to stop stays
 	// in it until its exit is seen; giving counts it for the guarantees.
 	usage  map[unit.Team]checkpoint.Resources
@@ -155,7 +161,7 @@
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
 		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{},
 		elders: map[*checkpoint.Job]*checkpoint.Placement{}, ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}, promised: map[*checkpoint.Job]int{}, gangZone: map[*checkpoint.Job]unit.Zone{}}
-	p.plan.Record = Record{Schema: Schema, No: w.No, Epoch: w.Epoch}
+	p.plan.Record = Record{Schema: schemaPlain, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
 	p.countWork()
@@ -253,7 +259,7 @@
 func (p *planner) placeJob(t turn) int {
 	j := t.job
 	if j.Spec.Gang {
-		return p.placeGang(j)
+		return p.placeGang(t)
 	}
 	left := min(j.Queue.Len()-p.claimed[j].Len(), p.quota(j))
 	if t.guaranteed {
@@ -435,13 +441,18 @@
 		p.full = true
 		return 0
 	}
+	p.record(j, b, st, len(tasks))
+	return len(tasks)
+}
+
+// record adds a start of n tasks to the record.
+func (p *planner) record(j *checkpoint.Job, b *bin, st Start, n int) {
 	p.size += st.SizeOf()
 	p.plan.Record.Starts = append(p.plan.Record.Starts, st)
 	b.started = true
-	p.began[j] += len(tasks)
-	p.rooms[j] -= j.Cost(b.m.ID, len(tasks))
-	p.take(j, b, len(tasks))
-	return len(tasks)
+	p.began[j] += n
+	p.rooms[j] -= j.Cost(b.m.ID, n)
+	p.take(j, b, n)
 }
 
 func startOf(j *checkpoint.Job, b *bin, tasks []unit.TaskIndex) Start {
--- a/internal/round/plan_test.go
+++ b/internal/round/plan_test.go
@@ -45,6 +45,15 @@
 	s.w.Fleet.Take(s.w.Now, &fleet.Report{Machine: id, Type: "m4", Zone: zone, Spot: spot, Session: 1, Tally: 1, Token: 10}, true)
 }
 
+// machineReports has a machine report what it holds of a job, all running.
+func (s *scene) machineReports(id unit.MachineID, j *checkpoint.Job) {
+	r := &fleet.Report{Machine: id, Type: "m4", Zone: s.w.Fleet.Machine(id).Zone, Session: 1, Tally: 2, Token: 10}
+	for _, v := range s.w.Fleet.Machine(id).Live() {
+		r.Entries = append(r.Entries, fleet.Entry{Task: v.ID(), Attempt: v.Attempt, State: "running"})
+	}
+	s.w.Fleet.Take(s.w.Now, r, true)
+}
+
 func (s *scene) job(id unit.JobID, spec checkpoint.Spec) *checkpoint.Job {
 	j := checkpoint.NewJob(id, checkpoint.NewRecord(spec, 0), 1, start)
 	s.jobs[id] = j
--- a/internal/round/preempt.go
+++ b/internal/round/preempt.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/unit"
 )
 
 func (p *planner) mayPreempt(j *checkpoint.Job) bool {
@@ -29,20 +30,7 @@
 	if n <= 0 {
 		return 0
 	}
-	spots := &spots{}
-	borrowed := p.mayTakeBack(j)
-	p.plan.Work += len(p.bins)
-	for _, b := range p.bins {
-		// On a dear machine that the job may not use, what is free was promised to
-		// it in each plan, never used, and kept from those that could.
-		if !b.yields(j, borrowed) || !p.allowed(j, b) || !p.mayUse(j, b) || p.zoneRoom(j, b.zone) == 0 || holders && !b.m.HasImage(j.Spec.Image) {
-			continue
-		}
-		if s, ok := p.spotAt(j, b); ok {
-			*spots = append(*spots, s)
-		}
-	}
-	heap.Init(spots)
+	spots := p.spotsFor(j, holders)
 	made := 0
 	for made < n && spots.Len() > 0 {
 		// What was decided since may have changed what this one costs.
@@ -54,13 +42,35 @@
 			(*spots)[0] = s
 			heap.Fix(spots, 0)
 		default:
-			p.stop(j, s)
 			made++
+			if p.stop(j, s) {
+				// A gang was stopped: it makes room on other machines too.
+				spots = p.spotsFor(j, holders)
+			}
 		}
 	}
 	return made
 }
 
+// spotsFor lists where room for one task of the job can be made.
+func (p *planner) spotsFor(j *checkpoint.Job, holders bool) *spots {
+	out := &spots{}
+	borrowed := p.mayTakeBack(j)
+	p.plan.Work += len(p.bins)
+	for _, b := range p.bins {
+		// On a dear machine that the job may not use, what is free was promised to
+		// it in each plan, never used, and kept from those that could.
+		if !b.yields(j, borrowed) || !p.allowed(j, b) || !p.mayUse(j, b) || p.zoneRoom(j, b.zone) == 0 || holders && !b.m.HasImage(j.Spec.Image) {
+			continue
+		}
+		if s, ok := p.spotAt(j, b); ok {
+			*out = append(*out, s)
+		}
+	}
+	heap.Init(out)
+	return out
+}
+
 // yields tells whether the bin can hold a task of the job at all after stops.
 func (b *bin) yields(j *checkpoint.Job, borrowed bool) bool {
 	l := b.m.Load()
@@ -89,17 +99,48 @@
 	return spot{b, stops, cost}, ok
 }
 
-func (p *planner) stop(j *checkpoint.Job, s spot) {
+// stop stops what is in the way at a spot, gangs whole, and promises the room to a
+// task of the job. It tells whether a gang was stopped.
+func (p *planner) stop(j *checkpoint.Job, s spot) bool {
+	wide := false
 	for _, v := range s.stops {
-		p.taken[v] = true
-		s.b.later = s.b.later.Plus(v.Job.Spec.Need())
-		if !v.Halting {
-			p.plan.Stops = append(p.plan.Stops, Stop{v, j.ID})
-			p.giving[v.Job.Spec.Team] = p.giving[v.Job.Spec.Team].Plus(v.Job.Spec.Need())
+		if !v.Job.Spec.Gang || v.Halting {
+			p.stopOne(j, v)
+			continue
+		}
+		for _, member := range v.Job.Live {
+			if !p.taken[member] {
+				p.stopOne(j, member)
+				wide = true
+			}
 		}
 	}
 	s.b.promise(j.Spec.Need())
 	p.count(j, s.b, 1)
+	return wide
+}
+
+// stopOne stops one placement. The room that it leaves is nobody's yet.
+func (p *planner) stopOne(j *checkpoint.Job, v *checkpoint.Placement) {
+	p.taken[v] = true
+	if b := p.binOf(v.Machine); b != nil {
+		b.later = b.later.Plus(v.Job.Spec.Need())
+	}
+	if !v.Halting {
+		p.plan.Stops = append(p.plan.Stops, Stop{v, j.ID})
+		p.giving[v.Job.Spec.Team] = p.giving[v.Job.Spec.Team].Plus(v.Job.Spec.Need())
+	}
+}
+
+// binOf returns the bin of a machine, or nil if the plan does not use it.
+func (p *planner) binOf(id unit.MachineID) *bin {
+	if p.byMachine == nil {
+		p.byMachine = make(map[unit.MachineID]*bin, len(p.bins))
+		for _, b := range p.bins {
+			p.byMachine[b.m.ID] = b
+		}
+	}
+	return p.byMachine[id]
 }
 
 // spots is a heap, the cheapest first.
@@ -120,13 +161,19 @@
 	}
 	free, cost := b.free.Plus(b.later), 0.0
 	var out []*checkpoint.Placement
+	var lastGang *checkpoint.Job
 	for _, v := range p.candidates(j, b) {
 		if free.Fits(need) {
 			break
 		}
 		out = append(out, v)
 		free = free.Plus(v.Job.Spec.Need())
-		cost += p.lost(v)
+		if v.Job != lastGang || v.Halting {
+			cost += p.lost(v)
+		}
+		if v.Job.Spec.Gang && !v.Halting {
+			lastGang = v.Job // it is lost whole, and counted once
+		}
 	}
 	return out, cost, free.Fits(need)
 }
@@ -137,9 +184,7 @@
 	var out []*checkpoint.Placement
 	p.plan.Work += b.m.Load().Tasks
 	for _, v := range b.running() {
-		// A gang that loses a task ends whole: none of its tasks is stopped to make
-		// room for one.
-		if !p.taken[v] && (v.Halting || !v.Job.Spec.Gang && p.mayStop(j, v)) {
+		if !p.taken[v] && (v.Halting || p.mayStop(j, v)) {
 			out = append(out, v)
 		}
 	}
@@ -151,11 +196,22 @@
 		if x.Job.Spec.Priority != y.Job.Spec.Priority {
 			return x.Job.Spec.Priority < y.Job.Spec.Priority
 		}
+		if x.Job.Spec.Gang && x.Job != y.Job && p.lost(x) == p.lost(y) {
+			return x.Job.ID < y.Job.ID // so that those of one gang stay together
+		}
 		return p.lost(x) < p.lost(y)
 	})
 	return out
 }
 
+// together is how many tasks end if the placement is stopped: a gang ends whole.
+func together(v *checkpoint.Placement) int {
+	if v.Job.Spec.Gang {
+		return len(v.Job.Live)
+	}
+	return 1
+}
+
 func (p *planner) mayStop(j *checkpoint.Job, v *checkpoint.Placement) bool {
 	if j.Spec.Priority < checkpoint.High && p.mustRun(v) {
 		return false
@@ -170,7 +226,7 @@
 	}
 	t := p.w.Teams[v.Job.Spec.Team]
 	// Stopping it must leave its team no less than its guarantee.
-	left := p.usage[v.Job.Spec.Team].Minus(p.giving[v.Job.Spec.Team]).Minus(v.Job.Spec.Need())
+	left := p.usage[v.Job.Spec.Team].Minus(p.giving[v.Job.Spec.Team]).Minus(v.Job.Spec.Need().Times(together(v)))
 	return left.CPUs >= t.CPUs-1e-6
 }
 
@@ -212,17 +268,35 @@
 	return v.Task < w.Task
 }
 
-// lost is the work, in CPU seconds, that stopping a placement throws away.
+// lost is the work, in CPU seconds, that stopping a placement throws away, with
+// that of its whole gang.
 func (p *planner) lost(v *checkpoint.Placement) float64 {
 	if v.Halting {
 		return 0
 	}
 	s := &v.Job.Spec
-	if v.State != checkpoint.Running {
-		return 0.5 * s.CPUs
+	cpus := s.CPUs * float64(together(v))
+	switch {
+	case v.State != checkpoint.Running:
+		return 0.5 * cpus
+	case s.CheckpointS > 0 && s.Gang && !p.hears(v.Job):
+		// Not all of its tasks can be told in time, so it can't save: what it did
+		// since its last checkpoint is lost.
+		return (1 + min(s.CheckpointS, p.w.Now.Sub(v.Ran).Seconds())) * cpus
+	case s.CheckpointS > 0:
+		return (1 + s.SaveS) * cpus
 	}
-	if s.CheckpointS > 0 {
-		return (1 + s.SaveS) * s.CPUs
+	return (1 + p.w.Now.Sub(v.Ran).Seconds()) * cpus
+}
+
+// hears tells whether all machines of a gang report, so that its tasks can be told
+// to stop at about the same time.
+func (p *planner) hears(j *checkpoint.Job) bool {
+	for _, v := range j.Live {
+		m := p.w.Fleet.Machine(v.Machine)
+		if m == nil || !m.Up || p.w.Fleet.Quiet(p.w.Now, m) {
+			return false
+		}
 	}
-	return (1 + p.w.Now.Sub(v.Ran).Seconds()) * s.CPUs
+	return true
 }
--- a/internal/round/record.go
+++ b/internal/round/record.go
@@ -6,11 +6,13 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"badgerbay/internal/parts"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/wire"
@@ -20,16 +22,32 @@
 const KeyPrefix = "round/"
 
 // Schema is the version of Record. Since 2 the starts are packed; the lists of
-// schema 1 are still read.
-const Schema = 2
+// schema 1 are still read. schemaPlain is written wherever it serves, since the
+// version before reads it; a record of schemaParts is compressed, names attempts
+// and may continue in parts.
+const (
+	Schema      = schemaParts
+	schemaPlain = 2
+	schemaParts = 3
+)
 
-// Start is a group of tasks of one job to be started on one machine. The
-// attempt is the number of the round.
+// Start is a group of tasks of one job to be started on one machine.
 type Start struct {
 	Job     unit.JobID     `msgpack:"j" json:"j"`
 	Machine unit.MachineID `msgpack:"m" json:"m"`
 	Session unit.Session   `msgpack:"s" json:"s"`
 	Tasks   unit.Ranges    `msgpack:"t" json:"t"`
+	// Attempt is that of a gang which waits for these tasks; 0: the number of the
+	// round.
+	Attempt unit.Attempt `msgpack:"-" json:"-"`
+}
+
+// AttemptIn is the attempt of the start in round no.
+func (s *Start) AttemptIn(no unit.RoundNo) unit.Attempt {
+	if s.Attempt != 0 {
+		return s.Attempt
+	}
+	return unit.Attempt(no)
 }
 
 // Hire is a rental under a name of its own.
@@ -50,13 +68,20 @@
 	Packed   wire.Packed               `msgpack:"pk,omitempty" json:"pk,omitempty"`
 	Hires    wire.List[Hire]           `msgpack:"hi,omitempty" json:"hi,omitempty"`
 	Releases wire.List[unit.MachineID] `msgpack:"re,omitempty" json:"re,omitempty"`
+	Overflow *Overflow                 `msgpack:"ov,omitempty" json:"ov,omitempty"`
+}
+
+// Overflow is what a record says of its parts.
+type Overflow struct {
+	Parts int    `msgpack:"n" json:"n"`
+	Sum   uint32 `msgpack:"s" json:"s"`
 }
 
 // ErrSchema says that a record was written by a later version.
 var ErrSchema = errors.New("round record has a later schema")
 
-// Decode reads a record.
-func Decode(data []byte) (*Record, error) {
+// Decode reads a record. part returns the value of its part with a number, or nil.
+func Decode(data []byte, part func(n int) []byte) (*Record, error) {
 	r := new(Record)
 	if err := msgpack.Unmarshal(data, r); err != nil {
 		return nil, fmt.Errorf("decoding round record: %w", err)
@@ -64,12 +89,13 @@
 	if r.Schema > Schema {
 		return nil, fmt.Errorf("%w: %d, this program knows %d", ErrSchema, r.Schema, Schema)
 	}
-	if r.Packed != "" {
-		if err := r.Packed.Unpack(r.unpack); err != nil {
-			return nil, fmt.Errorf("round record: %w", err)
-		}
-		r.Packed = ""
+	if (r.Schema > schemaPlain) != (r.Overflow != nil) {
+		return nil, errors.New("round record whose schema and parts differ")
 	}
+	if err := r.decodeStarts(part); err != nil {
+		return nil, fmt.Errorf("round record: %w", err)
+	}
+	r.Packed, r.Overflow = "", nil
 	for _, s := range r.Starts {
 		if !s.Tasks.Valid(1 << 31) {
 			return nil, errors.New("round record holds impossible ranges")
@@ -78,21 +104,70 @@
 	return r, nil
 }
 
-// Encode returns the record as it is stored.
+func (r *Record) decodeStarts(part func(n int) []byte) error {
+	if o := r.Overflow; o != nil {
+		text, err := parts.Join(r.Packed, o.Parts, o.Sum, part)
+		if err != nil {
+			return err
+		}
+		return text.ExpandWith(maxExpanded, func(d *msgpack.Decoder) error { return r.unpack(d, true) })
+	}
+	if r.Packed == "" {
+		return nil
+	}
+	return r.Packed.Unpack(func(d *msgpack.Decoder) error { return r.unpack(d, false) })
+}
+
+// maxExpanded bounds what a compressed record may hold.
+const maxExpanded = 4 << 20
+
+// Encode returns the record as the version before reads it: in one value,
+// whatever its size, with all starts in the attempt of the round.
 func (r *Record) Encode() (*Record, error) {
 	out := *r
-	out.Starts = nil
+	out.Schema, out.Starts = schemaPlain, nil
 	if len(r.Starts) == 0 {
 		return &out, nil
 	}
 	var err error
-	out.Packed, err = wire.Pack(r.pack)
+	out.Packed, err = wire.Pack(func(e *msgpack.Encoder) error { return r.pack(e, false) })
 	return &out, err
 }
 
-// pack writes the starts. The name of a job is left empty where it is that of
-// the start before.
-func (r *Record) pack(e *msgpack.Encoder) error {
+// plain tells whether the version before can read the starts.
+func (r *Record) plain() bool {
+	return !slices.ContainsFunc(r.Starts, func(s Start) bool { return s.Attempt != 0 })
+}
+
+// Split returns the record as it is stored where a value holds limit bytes in
+// JSON and at most values may be written, the record's own included. size measures
+// a value. With one value only, the record is one that the version before reads.
+func (r *Record) Split(limit, values int, size func(any) int) (*Record, []*parts.Part, error) {
+	plain, err := r.Encode()
+	if err != nil || values <= 1 || r.plain() && size(plain) <= limit {
+		return plain, nil, err
+	}
+	text, err := wire.SqueezeWith(func(e *msgpack.Encoder) error { return r.pack(e, true) })
+	if err != nil {
+		return nil, nil, err
+	}
+	out := *plain
+	out.Schema, out.Packed = schemaParts, text[:1] // for its name to be counted
+	out.Overflow = &Overflow{Parts: parts.Most, Sum: parts.Sum(text)}
+	head, rest, err := parts.Split(text, limit-size(&out), limit, schemaParts)
+	if err != nil {
+		return nil, nil, fmt.Errorf("round record: %w", err)
+	}
+	if len(rest)+1 > values {
+		return nil, nil, fmt.Errorf("round record: %w: %d parts", parts.ErrTooLarge, len(rest)+1)
+	}
+	out.Packed, out.Overflow.Parts = head, len(rest)
+	return &out, rest, nil
+}
+
+// pack writes the starts, with their attempts if these are wanted. The name of a
+// job is left empty where it is that of the start before.
+func (r *Record) pack(e *msgpack.Encoder, attempts bool) error {
 	if err := e.EncodeArrayLen(len(r.Starts)); err != nil {
 		return err
 	}
@@ -105,6 +180,9 @@
 		last = s.Job
 		err := errors.Join(e.EncodeString(string(job)), e.EncodeString(string(s.Machine)),
 			e.EncodeUint(uint64(s.Session)), s.Tasks.Pack(e))
+		if attempts {
+			err = errors.Join(err, e.EncodeUint(uint64(s.Attempt)))
+		}
 		if err != nil {
 			return err
 		}
@@ -112,12 +190,12 @@
 	return nil
 }
 
-func (r *Record) unpack(d *msgpack.Decoder) error {
+func (r *Record) unpack(d *msgpack.Decoder, attempts bool) error {
 	n, err := wire.ArrayLen(d)
 	last := unit.JobID("")
 	for ; n > 0 && err == nil; n-- {
 		var s Start
-		if err = s.unpack(d, last); err == nil {
+		if err = s.unpack(d, last, attempts); err == nil {
 			r.Starts = append(r.Starts, s)
 			last = s.Job
 		}
@@ -125,7 +203,7 @@
 	return err
 }
 
-func (s *Start) unpack(d *msgpack.Decoder, last unit.JobID) error {
+func (s *Start) unpack(d *msgpack.Decoder, last unit.JobID, attempts bool) error {
 	job, err := wire.Text(d)
 	if err != nil {
 		return err
@@ -142,7 +220,12 @@
 	if job == "" {
 		s.Job = last
 	}
-	return s.Tasks.Unpack(d)
+	if err := s.Tasks.Unpack(d); err != nil || !attempts {
+		return err
+	}
+	attempt, err := wire.Count(d)
+	s.Attempt = unit.Attempt(attempt)
+	return err
 }
 
 // Empty tells whether the round decides nothing.
@@ -160,21 +243,35 @@
 const (
 	recordSize  = 160
 	startHead   = 12 // bytes, packed
+	attemptSize = 9  // likewise
 	hireSize    = 120
 	releaseSize = 4
 )
 
 // SizeOf bounds the JSON size of a start that does not follow one of its job.
-func (s *Start) SizeOf() int {
-	return wire.PackedLen(startHead + len(s.Job) + len(s.Machine) + s.Tasks.PackedSize())
+func (s *Start) SizeOf() int { return wire.PackedLen(len(s.Job)) + s.nextSize() }
+
+// nextSize bounds the JSON size of a start that follows one of its job.
+func (s *Start) nextSize() int {
+	n := startHead + len(s.Machine) + s.Tasks.PackedSize()
+	if s.Attempt != 0 {
+		n += attemptSize
+	}
+	return wire.PackedLen(n)
 }
 
 // SizeOf bounds the JSON size of the record.
 func (r *Record) SizeOf() int {
-	n := recordSize
+	n := r.headSize()
 	for i := range r.Starts {
 		n += r.Starts[i].SizeOf()
 	}
+	return n
+}
+
+// headSize bounds the JSON size of the record without its starts.
+func (r *Record) headSize() int {
+	n := recordSize
 	for _, h := range r.Hires {
 		n += hireSize + len(h.Name) + len(h.Offer.Type) + len(h.Offer.Zone)
 	}
@@ -209,6 +306,10 @@
 	return KeyPrefix + strconv.Itoa(int(no%unit.RoundNo(len(g.slots))))
 }
 
+// PartKey is the key of part n of the record in the slot with a key. The keys of
+// slots name no job, so they don't meet those of jobs' parts.
+func PartKey(slot string, n int) string { return parts.Key(slot, n) }
+
 func (g *Ring) slotOf(no unit.RoundNo) *slot { return &g.slots[no%unit.RoundNo(len(g.slots))] }
 
 // Next is the number of the next round, and whether its slot is free.
--- a/internal/standin/gang.go
+++ b/internal/standin/gang.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/unit"
 )
@@ -40,6 +41,33 @@
 	for k, members := range gangs {
 		spec, _, _ := members[0].w.Spec(k.job)
 		gather(now, members, spec.Tasks, wait, peer, hangs)
+		save(now, members, spec, peer)
+	}
+}
+
+// save lets the tasks of a gang that are told to stop save and exit together. If
+// one is not told in time, the save fails for all.
+func save(now unit.Instant, members []member, spec *checkpoint.Spec, peer time.Duration) {
+	takes := unit.Seconds(spec.SaveS)
+	first, all, ready := now, len(members) == spec.Tasks, true
+	for _, m := range members {
+		switch {
+		case m.task.State == flushing:
+			first = min(first, m.task.told)
+			ready = ready && now.Sub(m.task.told) >= takes
+		case m.task.State == running:
+			all = false
+		}
+	}
+	for _, m := range members {
+		switch {
+		case m.task.State != flushing:
+		case all && ready:
+			m.task.Stored = true
+			m.w.exit(now, m.id, m.task, fleet.CauseStopped)
+		case now.Sub(first) >= peer:
+			m.w.exit(now, m.id, m.task, fleet.CausePeers)
+		}
 	}
 }
 
@@ -50,6 +78,9 @@
 			ready++
 		}
 		begun = begun || m.task.State == running
+		if m.task.State == flushing {
+			return // it does not start, go on or complete any more
+		}
 		done = done || m.task.State == running && !now.Before(m.task.Ends)
 	}
 	for _, m := range members {
