Store any record's cancellation; refuse gangs that no record holds

A job whose record fits no number of parts could not be cancelled until tasks of it had ended.

A gang is refused with 422 if its records fit no one transaction even with as many tasks to a machine as the largest type holds.

--- a/internal/checkpoint/spec.go
+++ b/internal/checkpoint/spec.go
@@ -4,6 +4,8 @@
 package checkpoint
 
 import (
+	"math"
+
 	"badgerbay/internal/unit"
 	"badgerbay/internal/wire"
 )
@@ -55,6 +57,21 @@
 	return need.CPUs <= r.CPUs+epsilon && need.GPUs <= r.GPUs+epsilon && need.MemoryGB <= r.MemoryGB+epsilon
 }
 
+// Holds is how many times need fits into r.
+func (r Resources) Holds(need Resources) int {
+	n := math.MaxInt32
+	if need.CPUs > 0 {
+		n = min(n, int((r.CPUs+epsilon)/need.CPUs))
+	}
+	if need.GPUs > 0 {
+		n = min(n, int((r.GPUs+epsilon)/need.GPUs))
+	}
+	if need.MemoryGB > 0 {
+		n = min(n, int((r.MemoryGB+epsilon)/need.MemoryGB))
+	}
+	return max(0, n)
+}
+
 // Plus returns the sum.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{r.CPUs + o.CPUs, r.GPUs + o.GPUs, r.MemoryGB + o.MemoryGB}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -110,10 +110,11 @@
 		t.undo(now, f)
 		return
 	}
-	if !t.c.budget.TakeWrites(now, statestore.UseRound, len(writes)) {
+	if !t.c.budget.TakeWrites(now, statestore.UseRound, 1) {
 		t.undo(now, f)
 		return
 	}
+	t.c.budget.Spend(now, len(writes)-1)
 	for _, id := range r.Releases {
 		t.fleet.Machine(id).Releasing = true
 	}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -216,7 +216,7 @@
 }
 
 func (n *Node) rules() *intake.Rules {
-	return &intake.Rules{Teams: n.teams, Zones: n.set.Params.Zones, Types: n.view.Load().types}
+	return &intake.Rules{Teams: n.teams, Zones: n.set.Params.Zones, Types: n.view.Load().types, State: n.set.Params.State.Tight()}
 }
 
 func (n *Node) ask(kind intake.Kind) httprouter.Handle {
--- /dev/null
+++ b/internal/controller/stage_test.go
@@ -0,0 +1,149 @@
+package controller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/parts"
+	"badgerbay/internal/rollout"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// hugeJob stores a job with so many tasks under way that its record fits no one
+// transaction under the later limits, as a version without them may have left it.
+func (s *sim) hugeJob(id unit.JobID, groups int) {
+	spec := batch
+	spec.Tasks = 4 * groups
+	r := checkpoint.NewRecord(spec, simClock{s}.Wall().UnixMilli())
+	for i := range groups {
+		at := unit.TaskIndex(4 * i)
+		r.Live = append(r.Live, checkpoint.Group{Machine: unit.MachineID(fmt.Sprintf("host-%06d", 1000+i*7919%900_000)),
+			Session: unit.Session(1 + i%40), Attempt: unit.Attempt(1 + i*31%997), Tasks: unit.Ranges{{First: at, Last: at}, {First: at + 2, Last: at + 2}}})
+	}
+	stored, err := r.Encode()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	limit, ops := s.state.ValueBytes, s.state.TxnOps
+	s.state.ValueBytes, s.state.TxnOps = 0, 0
+	if _, err := s.state.Commit(statestore.Txn{Writes: []statestore.Write{{Set: checkpoint.Key(id), Value: stored}}}); err != nil {
+		s.t.Fatal(err)
+	}
+	s.state.ValueBytes, s.state.TxnOps = limit, ops
+	s.jobs[id] = &simJob{spec: spec, submitted: true, run: time.Minute, accepted: s.now, began: s.now, heard: s.now, told: intake.Queued}
+}
+
+// whole reads a job's record with its parts, as a successor would at this moment.
+func (s *sim) whole(id unit.JobID) *checkpoint.Record {
+	item, err := s.state.Get(checkpoint.Key(id))
+	if err != nil {
+		return nil
+	}
+	r, err := checkpoint.DecodeWhole(item.Value, func(n int) []byte {
+		part, _ := s.state.Get(checkpoint.PartKey(id, n))
+		return part.Value
+	})
+	if err != nil {
+		s.t.Fatalf("the record can't be read: %v", err)
+	}
+	return r
+}
+
+// TestCancellationAlwaysFits: a job whose record fits no one transaction can be
+// cancelled all the same. Its record is written in several, whole at any moment,
+// whichever of them the leader ends before, and also if some are carried out late.
+func TestCancellationAlwaysFits(t *testing.T) {
+	for crashAt := range 14 {
+		t.Run(fmt.Sprint(crashAt), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, 700+uint64(crashAt))
+			s.set.Params.State.Next = &config.StateLimits{WriteRPS: 15, ValueKB: 2, TxnOps: 4}
+			for _, n := range s.nodes {
+				s.crash(n, time.Millisecond)
+			}
+			const id = "wk-000777"
+			s.hugeJob(id, 600)
+			s.submit(1, together, 20*time.Second)
+			s.run(12 * time.Second) // all nodes know the form by then
+			s.state.ValueBytes, s.state.TxnOps = 2048, 4
+			if crashAt%3 == 2 {
+				s.lateWrites = 0.2
+			}
+			s.crashAt = crashAt
+			s.withdraw(id)
+			s.every(50*time.Millisecond, func() { s.whole(id) })
+			s.run(25 * time.Second)
+			s.lateWrites = 0
+			if s.jobs[id].cancelled == 0 {
+				t.Fatal("the cancellation was not confirmed")
+			}
+			if r := s.whole(id); r.Phase != checkpoint.Cancelled {
+				t.Errorf("phase %q is stored", r.Phase)
+			}
+			s.run(15 * time.Second)
+			s.finish()
+		})
+	}
+}
+
+// TestLatePartsDoNotCount: a copy of a transaction with parts that is carried out
+// after the next one changes nothing.
+func TestLatePartsDoNotCount(t *testing.T) {
+	g := newGrown(t, 0)
+	g.core.set.Params.State.Next = &config.StateLimits{WriteRPS: 15, ValueKB: 2, TxnOps: 4}
+	tm := g.core.term
+	tm.cluster = rollout.New(nil, rollout.Newest)
+	r := checkpoint.NewRecord(batch, 0)
+	r.Spec.Tasks = 8000
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 2000 {
+		r.Live = append(r.Live, checkpoint.Group{Machine: unit.MachineID(fmt.Sprintf("host-%06d", rng.IntN(1_000_000))), Session: 1,
+			Attempt: unit.Attempt(rng.IntN(1 << 30)), Tasks: unit.Ranges{{First: unit.TaskIndex(4 * i), Last: unit.TaskIndex(4 * i)}}})
+	}
+	data, err := msgpack.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tm.addJob(g.now, "wk-000001", statestore.Item{Key: "job/wk-000001", Value: data, Stamp: 5}, nil)
+	tm.jobs["wk-000001"].Cancel(g.now)
+	guards := map[unit.Version]bool{}
+	version := unit.Version(100)
+	var follow func([]Effect)
+	follow = func(effects []Effect) {
+		for _, e := range effects {
+			c, ok := e.(Commit)
+			if !ok || c.Kind != CommitStage {
+				continue
+			}
+			if guard := c.Txn.Guards[1]; guard.Key != stageKey || guards[guard.Stamp] || c.Txn.Writes[0].Set != stageKey {
+				t.Fatalf("parts are written under %+v, which an earlier write has seen", guard)
+			}
+			guards[c.Txn.Guards[1].Stamp] = true
+			version++
+			follow(g.core.Step(g.now, Committed{Kind: CommitStage, Epoch: c.Epoch, Version: version}))
+		}
+	}
+	for range 40 {
+		g.now = g.now.Add(300 * time.Millisecond)
+		follow(g.core.Step(g.now, Lead{leadership.Renewed{Outcome: leadership.OK, Sent: g.now}}))
+		follow(g.core.Step(g.now, Tick{}))
+	}
+	if len(guards) < 2 {
+		t.Errorf("%d transactions with parts", len(guards))
+	}
+	if !tm.jobs["wk-000001"].Writing {
+		t.Error("the record itself is not being written")
+	}
+	if parts.Key("stage", 1) == stageKey {
+		t.Error("a part is stored under the key that guards them")
+	}
+}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -75,7 +75,7 @@
 }
 
 func rules() *Rules {
-	return &Rules{Zones: []unit.Zone{"a"}, Teams: map[unit.Team]config.Team{"red": {Name: "red", CPUsMax: 8}},
+	return &Rules{Zones: []unit.Zone{"a"}, State: config.State{ValueKB: 2, TxnOps: 4}, Teams: map[unit.Team]config.Team{"red": {Name: "red", CPUsMax: 8}, "wide": {Name: "wide", CPUsMax: 1e5}},
 		Types: []*fleet.Type{{Name: "m", Capacity: checkpoint.Resources{CPUs: 4, MemoryGB: 16}, Zones: []unit.Zone{"a"}}}}
 }
 
@@ -90,14 +90,18 @@
 		"service within the limit":          {func(s *checkpoint.Spec) { s.Service, s.Tasks = true, 4 }, 0},
 		"gang beyond the limit":             {func(s *checkpoint.Spec) { s.Gang = true }, 422},
 		"gang within the limit":             {func(s *checkpoint.Spec) { s.Gang, s.Tasks = true, 4 }, 0},
-		"gang of one":                       {func(s *checkpoint.Spec) { s.Gang, s.OneZone, s.Spread, s.Tasks = true, true, true, 1 }, 0},
-		"gang in one zone and spread":       {func(s *checkpoint.Spec) { s.Gang, s.OneZone, s.Spread, s.Tasks = true, true, true, 4 }, 422},
-		"gang in a zone nobody has":         {func(s *checkpoint.Spec) { s.Gang, s.Zone, s.Tasks = true, "z", 4 }, 422},
-		"unknown team":                      {func(s *checkpoint.Spec) { s.Team = "green" }, 422},
-		"too large for any machine":         {func(s *checkpoint.Spec) { s.CPUs = 5 }, 422},
-		"unknown type":                      {func(s *checkpoint.Spec) { s.Types = []unit.MachineType{"x"} }, 422},
-		"unknown zone":                      {func(s *checkpoint.Spec) { s.Zone = "z" }, 422},
-		"accelerators nobody has":           {func(s *checkpoint.Spec) { s.GPUs = 1 }, 422},
+		"gang beyond what records hold": {func(s *checkpoint.Spec) {
+			s.Team, s.Gang, s.Tasks = "wide", true, 2000
+		}, 422},
+		"large gang":                  {func(s *checkpoint.Spec) { s.Team, s.Gang, s.Tasks = "wide", true, 100 }, 0},
+		"gang of one":                 {func(s *checkpoint.Spec) { s.Gang, s.OneZone, s.Spread, s.Tasks = true, true, true, 1 }, 0},
+		"gang in one zone and spread": {func(s *checkpoint.Spec) { s.Gang, s.OneZone, s.Spread, s.Tasks = true, true, true, 4 }, 422},
+		"gang in a zone nobody has":   {func(s *checkpoint.Spec) { s.Gang, s.Zone, s.Tasks = true, "z", 4 }, 422},
+		"unknown team":                {func(s *checkpoint.Spec) { s.Team = "green" }, 422},
+		"too large for any machine":   {func(s *checkpoint.Spec) { s.CPUs = 5 }, 422},
+		"unknown type":                {func(s *checkpoint.Spec) { s.Types = []unit.MachineType{"x"} }, 422},
+		"unknown zone":                {func(s *checkpoint.Spec) { s.Zone = "z" }, 422},
+		"accelerators nobody has":     {func(s *checkpoint.Spec) { s.GPUs = 1 }, 422},
 	} {
 		s := base
 		c.change(&s)
--- a/internal/round/gang.go
+++ b/internal/round/gang.go
@@ -105,7 +105,7 @@
 	}
 	need := j.Spec.Need()
 	roomiest := slices.Clone(bins)
-	slices.SortStableFunc(roomiest, func(x, y *bin) int { return cmp.Compare(fitCount(y.free, need), fitCount(x.free, need)) })
+	slices.SortStableFunc(roomiest, func(x, y *bin) int { return cmp.Compare(y.free.Holds(need), x.free.Holds(need)) })
 	return p.fitGangZone(j, roomiest)
 }
 
@@ -136,14 +136,14 @@
 		if zone != "" && b.zone != zone {
 			continue
 		}
-		n := min(len(tasks), fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone)-used[b.zone])
+		n := min(len(tasks), b.free.Holds(j.Spec.Need()), p.zoneRoom(j, b.zone)-used[b.zone])
 		n = j.Fit(room, b.m.ID, n)
 		if n <= 0 {
 			continue
 		}
 		st := startOf(j, b, tasks[:n])
 		size += st.nextSize()
-		if size > p.gangBytes() {
+		if size > gangBytes(p.w.ValueBytes, p.w.RoundParts) {
 			return nil
 		}
 		found = append(found, gangPart{b, tasks[:n]})
@@ -158,9 +158,7 @@
 
 // gangBytes is how large the record of a round may be that starts a gang: as large
 // as all values that one transaction holds, where nodes know parts.
-func (p *planner) gangBytes() int {
-	return p.w.ValueBytes + parts.Capacity(p.w.ValueBytes, p.w.RoundParts-1)
-}
+func gangBytes(limit, values int) int { return limit + parts.Capacity(limit, values-1) }
 
 // holdForGang picks the zone that lacks least for a gang and keeps what is free
 // and coming there for it. It returns for how many tasks machines are missing,
@@ -221,7 +219,7 @@
 func (p *planner) gangRoom(j *checkpoint.Job, zone unit.Zone) int {
 	in := map[unit.Zone]int{}
 	p.eachGangBin(j, zone, func(b *bin) {
-		in[b.zone] = min(p.zoneRoom(j, b.zone), in[b.zone]+fitCount(b.free, j.Spec.Need()))
+		in[b.zone] = min(p.zoneRoom(j, b.zone), in[b.zone]+b.free.Holds(j.Spec.Need()))
 	})
 	sum := 0
 	for _, n := range in {
@@ -233,7 +231,7 @@
 // gangCapacity is how many tasks of a gang a zone would hold if it were empty.
 func (p *planner) gangCapacity(j *checkpoint.Job, zone unit.Zone) int {
 	sum := 0
-	p.eachGangBin(j, zone, func(b *bin) { sum += fitCount(b.typ.Capacity, j.Spec.Need()) })
+	p.eachGangBin(j, zone, func(b *bin) { sum += b.typ.Capacity.Holds(j.Spec.Need()) })
 	return sum
 }
 
@@ -250,7 +248,7 @@
 // it. It starts nothing.
 func (p *planner) keepForGang(j *checkpoint.Job, zone unit.Zone, n int) {
 	p.eachGangBin(j, zone, func(b *bin) {
-		if k := min(n, fitCount(b.free, j.Spec.Need())); k > 0 {
+		if k := min(n, b.free.Holds(j.Spec.Need())); k > 0 {
 			n -= k
 			b.free = b.free.Minus(j.Spec.Need().Times(k))
 		}
--- a/internal/round/gang_test.go
+++ b/internal/round/gang_test.go
@@ -287,3 +287,36 @@
 		}
 	}
 }
+
+// TestLargestGangIsPlaced: the largest gang that is taken, one task to a machine, is
+// started whole, and its records can be stored; one that is larger is not taken.
+func TestLargestGangIsPlaced(t *testing.T) {
+	limits := config.State{ValueKB: 2, TxnOps: 4}
+	spec := gangSpec(1, 3)
+	for spec.Tasks = 1; GangFits(&spec, 1, 300, limits); spec.Tasks++ {
+	}
+	spec.Tasks--
+	if spec.Tasks < 100 {
+		t.Errorf("the largest gang has %d tasks", spec.Tasks)
+	}
+	s := newScene(t)
+	s.w.Teams = map[unit.Team]config.Team{"red": {CPUsMax: 4000}}
+	s.w.ValueBytes, s.w.RoundParts, s.w.Parts = 2048, 4, 4
+	for i := range spec.Tasks {
+		s.machine(unit.MachineID(fmt.Sprintf("machine-%08d", i*7919%1_000_000)), "a", false)
+	}
+	j := s.job("wk-000001", spec)
+	plan := s.plan()
+	if n := len(plan.Record.Starts); n != spec.Tasks {
+		t.Fatalf("%d of %d tasks start", n, spec.Tasks)
+	}
+	if _, _, err := plan.Record.Split(2048, 4, statestore.JSONSize); err != nil {
+		t.Error(err)
+	}
+	for _, st := range plan.Record.Starts {
+		s.place(j, st.Tasks[0].First, st.Machine)
+	}
+	if _, _, err := j.Record(9).Split(2048, 4, statestore.JSONSize); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/round/order.go
+++ b/internal/round/order.go
@@ -141,7 +141,7 @@
 		if n <= 0 || i == most {
 			return
 		}
-		n -= max(1, fitCount(b.typ.Capacity, j.Spec.Need())/reservedPart)
+		n -= max(1, b.typ.Capacity.Holds(j.Spec.Need())/reservedPart)
 		b.free = checkpoint.Resources{}
 	}
 }
--- a/internal/round/patience.go
+++ b/internal/round/patience.go
@@ -214,7 +214,7 @@
 }
 
 func taskPrice(j *checkpoint.Job, t *fleet.Type, spot bool) float64 {
-	per := fitCount(t.Capacity, j.Spec.Need())
+	per := t.Capacity.Holds(j.Spec.Need())
 	if per == 0 {
 		return math.Inf(1)
 	}
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -285,7 +285,7 @@
 		if len(tasks) == 0 || p.full {
 			break
 		}
-		n := min(len(tasks), fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone))
+		n := min(len(tasks), b.free.Holds(j.Spec.Need()), p.zoneRoom(j, b.zone))
 		if p.onlyOne(j, b) {
 			n = min(n, 1-min(1, p.began[j]))
 		}
@@ -311,20 +311,6 @@
 	return within > 0 && j.Spec.Priority >= checkpoint.High && b.typ.FetchGBps > 0 && j.Spec.ImageGB/b.typ.FetchGBps > within
 }
 
-func fitCount(free, need checkpoint.Resources) int {
-	n := math.MaxInt32
-	if need.CPUs > 0 {
-		n = min(n, int((free.CPUs+1e-6)/need.CPUs))
-	}
-	if need.GPUs > 0 {
-		n = min(n, int((free.GPUs+1e-6)/need.GPUs))
-	}
-	if need.MemoryGB > 0 {
-		n = min(n, int((free.MemoryGB+1e-6)/need.MemoryGB))
-	}
-	return max(0, n)
-}
-
 // allowed tells whether the bin may take the job's tasks.
 func (p *planner) allowed(j *checkpoint.Job, b *bin) bool {
 	if !j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
@@ -509,7 +495,7 @@
 		if !b.free.Fits(need) || !j.Spec.Allows(b.typ.Name, b.zone, b.spot) || !p.guards && !p.worth(j, b.typ, b.spot) {
 			continue
 		}
-		k := min(n, fitCount(b.free, j.Spec.Need()), p.zoneRoom(j, b.zone))
+		k := min(n, b.free.Holds(j.Spec.Need()), p.zoneRoom(j, b.zone))
 		if p.needsOnlyBegin(j) && !p.isCheap(j, b.typ, b.spot) {
 			k = min(k, 1-min(1, p.promised[j]))
 		}
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -112,7 +112,7 @@
 }
 
 func (p *planner) cost(j *checkpoint.Job, t *fleet.Type, z unit.Zone, spot bool) float64 {
-	per := fitCount(t.Capacity, j.Spec.Need())
+	per := t.Capacity.Holds(j.Spec.Need())
 	if per == 0 {
 		return math.Inf(1)
 	}
--- a/internal/round/spare.go
+++ b/internal/round/spare.go
@@ -20,14 +20,14 @@
 			if !s.Allows(b.typ.Name, b.zone, b.spot) {
 				continue
 			}
-			if n := fitCount(b.free.Plus(p.below(s, b)), s.Need()); n > 0 {
+			if n := b.free.Plus(p.below(s, b)).Holds(s.Need()); n > 0 {
 				missing -= n
 				p.plan.Keep[b.m.ID] = true
 			}
 		}
 		for _, b := range p.come {
 			if s.Allows(b.typ.Name, b.zone, b.spot) {
-				missing -= fitCount(b.free, s.Need())
+				missing -= b.free.Holds(s.Need())
 			}
 		}
 		if missing > 0 {
--- a/internal/round/vacate.go
+++ b/internal/round/vacate.go
@@ -140,7 +140,7 @@
 		left := 0
 		for b, room := range v.free {
 			if s.Allows(b.typ.Name, b.zone, b.spot) {
-				left += fitCount(room.Plus(v.p.below(s, b)), s.Need())
+				left += room.Plus(v.p.below(s, b)).Holds(s.Need())
 			}
 		}
 		if left < v.p.w.Policy.SpareTasks {
