Messages and records of the production version in tests; sizes as the service counts them

While a node has the version before, every stored record must have that version's schema and no field that it does not keep.

--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -284,21 +284,29 @@
 		case errors.Is(err, statestore.ErrMalformed):
 			done.TooLarge = beyond(c.Txn, n.set.Params.State.Tight())
 			n.met.TooLarge.Inc()
-			n.log.Error("transaction refused", "epoch", c.Epoch, "writes", len(c.Txn.Writes), "beyond_next", done.TooLarge, "err", err)
+			key, size := largest(c.Txn)
+			n.log.Error("transaction refused", "epoch", c.Epoch, "writes", len(c.Txn.Writes), "largest", key, "bytes", size, "beyond_next", done.TooLarge, "err", err)
 		}
 		n.post(ctx, done)
 		return
 	}
 }
 
-// beyond tells whether a transaction is larger than the limits allow.
-func beyond(t statestore.Txn, limits config.State) bool {
+// largest returns the key of the largest value of a transaction, and its size.
+func largest(t statestore.Txn) (string, int) {
+	key, size := "", 0
 	for _, w := range t.Writes {
-		if statestore.JSONSize(w.Value) > limits.ValueBytes() {
-			return true
+		if n := statestore.JSONSize(w.Value); n > size {
+			key, size = w.Set, n
 		}
 	}
-	return len(t.Writes) > limits.TxnOps
+	return key, size
+}
+
+// beyond tells whether a transaction is larger than the limits allow.
+func beyond(t statestore.Txn, limits config.State) bool {
+	_, size := largest(t)
+	return size > limits.ValueBytes() || len(t.Writes) > limits.TxnOps
 }
 
 // settle judges a conflict. If the leader guard failed, this node is deposed.
--- a/internal/controller/rollout_test.go
+++ b/internal/controller/rollout_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
 	"badgerbay/internal/parts"
@@ -33,6 +36,9 @@
 	for i := range 4 {
 		s.submit(400+i, wide, time.Duration(25+20*i)*time.Second)
 	}
+	for i := range 6 {
+		s.after(time.Duration(8+8*i)*time.Second, func() { s.submit(450+i, gang, 12*time.Second) })
+	}
 	trouble(s)
 	for i, n := range s.nodes {
 		s.after(time.Duration(10+10*i)*time.Second, func() {
@@ -48,6 +54,37 @@
 	return s
 }
 
+// Fields of the records that the production version knows, and the schema of each.
+// It keeps no others when it rewrites a record.
+var (
+	jobFields   = []string{"v", "spec", "at", "ph", "e", "r", "d", "l", "pk", "nx"}
+	roundFields = []string{"v", "no", "e", "lo", "st", "pk", "hi", "re"}
+)
+
+const schemaBefore = 2
+
+// storedAsBefore checks that all records are such as the production version reads
+// and keeps whole.
+func (s *sim) storedAsBefore() {
+	for prefix, fields := range map[string][]string{checkpoint.KeyPrefix: jobFields, round0: roundFields} {
+		items, _, _ := s.state.List(prefix)
+		for _, item := range items {
+			var stored map[string]any
+			if err := msgpack.Unmarshal(item.Value, &stored); err != nil {
+				s.t.Fatalf("%s: %v", item.Key, err)
+			}
+			for field := range stored {
+				if !slices.Contains(fields, field) {
+					s.t.Errorf("%s: the version before does not keep %q", item.Key, field)
+				}
+			}
+			if v, ok := stored["v"].(int8); !ok || v > schemaBefore {
+				s.t.Errorf("%s: schema %v", item.Key, stored["v"])
+			}
+		}
+	}
+}
+
 // TestRollout: nodes of two versions serve side by side, what only the later can
 // read is stored once all have it and not before, and the lower limits change
 // nothing that a user sees.
@@ -80,6 +117,9 @@
 						rest, _, _ := s.state.List(parts.Prefix)
 						form, _ := s.state.Get(rollout.Key)
 						early = early || len(s.before) > 0 && (len(rest) > 0 || form.Stamp != 0)
+						if len(s.before) > 0 {
+							s.storedAsBefore()
+						}
 					})
 				})
 				if early {
--- /dev/null
+++ b/internal/mesh/testdata/production/cancel-reply.pb
@@ -0,0 +1,1 @@
+	cancelled 
--- /dev/null
+++ b/internal/mesh/testdata/production/cancel-request.pb
@@ -0,0 +1,2 @@
+
+	wk-000001
--- /dev/null
+++ b/internal/mesh/testdata/production/grant-request.pb
@@ -0,0 +1,2 @@
+
+É¢id†°n¢n1°v√
--- /dev/null
+++ b/internal/mesh/testdata/production/health-reply.pb
@@ -0,0 +1,1 @@
+n0
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -77,7 +79,38 @@
 	if err != nil {
 		return 1 << 30
 	}
-	return len(data)
+	return len(data) + len(".0")*wholeFloats(reflect.ValueOf(v))
+}
+
+// wholeFloats counts the decimal numbers in v that are whole, those that are left
+// out of the JSON too: the size is never too small. The service writes
+// them as 4.0, where Go's JSON has 4: a record that fitted by a few bytes was
+// refused again and again.
+func wholeFloats(v reflect.Value) int {
+	n := 0
+	switch v.Kind() {
+	case reflect.Float32, reflect.Float64:
+		if v.Float() == math.Trunc(v.Float()) {
+			n = 1
+		}
+	case reflect.Pointer, reflect.Interface:
+		if !v.IsNil() {
+			n = wholeFloats(v.Elem())
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			n += wholeFloats(v.Field(i))
+		}
+	case reflect.Slice, reflect.Array:
+		for i := range v.Len() {
+			n += wholeFloats(v.Index(i))
+		}
+	case reflect.Map:
+		for entries := v.MapRange(); entries.Next(); {
+			n += wholeFloats(entries.Value())
+		}
+	}
+	return n
 }
 
 const (
