A new leader lets workers come before it hands over, and backs off from doing so again

Now it counts after a report interval and the quarter by which reports may be late, and waits twice as long each time it has handed over within two minutes.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -30,7 +30,8 @@
 	keeper *delegation.Keeper
 	from   delegation.Isolation // what this node is cut off from
 	// outside is the node in another zone that workers try before they are kept.
-	outside string
+	outside   string
+	handovers handovers
 
 	cut         bool         // some node is out of reach over the mesh
 	stepped     unit.Instant // the last step
--- a/internal/controller/reach.go
+++ b/internal/controller/reach.go
@@ -15,6 +15,10 @@
 	// of the election after that.
 	reachPatience = 6 * time.Second
 	reachRest     = 15 * time.Second
+	// handoverMemory is how long a handover counts: a node that leads again within
+	// that time is twice as patient as before, up to mostHandovers times.
+	handoverMemory = 2 * time.Minute
+	mostHandovers  = 4
 	// reachRatio times as many workers that don't come themselves as do show
 	// that a leader is badly placed; reachLeast workers, and one of reachPart,
 	// that come through others show that one of those is placed better.
@@ -58,7 +62,7 @@
 // that are not heard of at all count too: through the state service a node
 // relays but a part of hundreds, and a leader that waited until most were
 // relayed held on for half a minute while leases ran out.
-func (r *reach) heir(now unit.Instant, known int) string {
+func (r *reach) heir(now unit.Instant, known int, patience time.Duration) string {
 	direct, relayed := 0, 0
 	through := map[string]int{}
 	for id, c := range r.last {
@@ -80,7 +84,7 @@
 	if r.since == 0 {
 		r.since = now
 	}
-	if now.Sub(r.since) < reachPatience || relayed < max(reachLeast, known/reachPart) {
+	if now.Sub(r.since) < patience || relayed < max(reachLeast, known/reachPart) {
 		return ""
 	}
 	best := ""
@@ -104,16 +108,39 @@
 	if t.flight != nil || t.fold != nil || t.c.lead.Raising() {
 		return false
 	}
-	if t.c.dozy(now) {
-		// It has heard nobody because it stood still itself.
+	interval := t.c.set.Params.Workers.ReportInterval()
+	if t.c.dozy(now) || now.Sub(t.acquired) < interval+interval/4 {
+		// It has heard nobody because it stood still itself, or because the
+		// workers have not had the time to come.
 		t.reach.since = 0
 		return false
 	}
-	heir := t.reach.heir(now, t.fleet.Reporting())
+	heir := t.reach.heir(now, t.fleet.Reporting(), t.c.handovers.patience(now))
 	if heir == "" {
 		return false
 	}
+	t.c.handovers.note(now)
 	t.c.log.Info("giving leadership up: the workers do not reach this node", "heir", heir, "epoch", t.epoch)
 	t.c.leadStep(now, leadership.Resign{Rest: reachRest, Heir: heir})
 	return true
 }
+
+// handovers remembers how often this node has handed leadership over of late.
+// Where two zones can't reach each other each side misses the other's workers, and
+// leadership went to and fro six times in half a minute.
+type handovers struct {
+	count int
+	last  unit.Instant
+}
+
+// patience is how long workers must be missing before the next handover.
+func (h *handovers) patience(now unit.Instant) time.Duration {
+	if now.Sub(h.last) > handoverMemory {
+		h.count = 0
+	}
+	return reachPatience << h.count
+}
+
+func (h *handovers) note(now unit.Instant) {
+	h.count, h.last = min(h.count+1, mostHandovers), now
+}
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -136,11 +136,11 @@
 	for now := begun; now.Sub(begun) < 20*time.Second; now = now.Add(time.Second) {
 		hear(&r, now, "near", 10, "")
 		hear(&alone, now, "near", 10, "")
-		if heir := alone.heir(now, 100); heir != "" {
+		if heir := alone.heir(now, 100, reachPatience); heir != "" {
 			t.Fatalf("leaves it to %q, which nobody comes through", heir)
 		}
 		hear(&r, now, "far", 16, "n2")
-		if heir := r.heir(now, 100); (heir == "n2") != (now.Sub(begun) >= reachPatience) {
+		if heir := r.heir(now, 100, reachPatience); (heir == "n2") != (now.Sub(begun) >= reachPatience) {
 			t.Fatalf("heir %q after %v", heir, now.Sub(begun))
 		}
 	}
@@ -148,17 +148,67 @@
 	for now := begun; now.Sub(begun) < 20*time.Second; now = now.Add(time.Second) {
 		hear(&fewer, now, "near", 10, "")
 		hear(&fewer, now, "far", 10, "n2")
-		if heir := fewer.heir(now, 100); heir != "" {
+		if heir := fewer.heir(now, 100, reachPatience); heir != "" {
 			t.Fatalf("leaves it to %q, which brings no more than come here", heir)
 		}
 	}
 	now := begun.Add(20 * time.Second)
 	hear(&r, now, "near", 50, "")
-	if r.heir(now, 100) != "" {
+	if r.heir(now, 100, reachPatience) != "" {
 		t.Error("gives up although many workers reach it")
 	}
 }
 
+// TestHandoversBackOff: a node that has handed leadership over is more patient when
+// it leads again soon, and forgets that after a while.
+func TestHandoversBackOff(t *testing.T) {
+	var h handovers
+	now := unit.Instant(time.Hour)
+	for want := reachPatience; want <= reachPatience<<mostHandovers; want *= 2 {
+		if got := h.patience(now); got != want {
+			t.Errorf("waits for %v, want %v", got, want)
+		}
+		h.note(now)
+		now = now.Add(30 * time.Second)
+	}
+	if got := h.patience(now); got != reachPatience<<mostHandovers {
+		t.Errorf("waits for %v", got)
+	}
+	if got := h.patience(now.Add(handoverMemory)); got != reachPatience {
+		t.Errorf("waits for %v after a quiet while", got)
+	}
+}
+
+// TestNewLeaderLetsWorkersCome: a leader does not count the workers that miss it
+// before they have had a report interval to come. In a partition of two zones it
+// took those of its own side for missing, and handed back at once.
+func TestNewLeaderLetsWorkersCome(t *testing.T) {
+	g := newGrown(t, 12)
+	tm := g.core.term
+	interval := g.core.set.Params.Workers.ReportInterval()
+	tm.acquired, g.core.woke = g.now, 0
+	hear := func() {
+		for _, m := range tm.fleet.Machines() {
+			tm.reach.note(g.now, m.ID, "n1")
+		}
+	}
+	for g.now.Sub(tm.acquired) < interval+interval/4 {
+		hear()
+		if tm.cannotLead(g.now) {
+			t.Fatalf("handed over after %v", g.now.Sub(tm.acquired))
+		}
+		g.now = g.now.Add(200 * time.Millisecond)
+	}
+	begun := g.now
+	for !tm.cannotLead(g.now) && g.now.Sub(begun) < time.Minute {
+		hear()
+		g.now = g.now.Add(200 * time.Millisecond)
+	}
+	if d := g.now.Sub(begun); d < reachPatience-time.Second || d > reachPatience+time.Second {
+		t.Errorf("handed over %v after that, want about %v", d, reachPatience)
+	}
+}
+
 // hear notes a report of each of n workers, through the node via if one is named.
 func hear(r *reach, now unit.Instant, name string, n int, via string) {
 	for i := range n {
