--- a/internal/unit/ranges.go
+++ b/internal/unit/ranges.go
@@ -11,6 +11,7 @@
 // Span is the run of task indexes from First to Last, both included. It is
 // encoded as a list of two numbers.
 type Span struct {
+	//lint:ignore U1000 the MessagePack library reads the tag of this field
 	_msgpack struct{} `msgpack:",as_array"`
 	First    TaskIndex
 	Last     TaskIndex
