--- /dev/null
+++ b/internal/controller/cloudcalls.go
@@ -0,0 +1,111 @@
+package controller
+
+import (
+	"context"
+	"errors"
+
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+func (n *Node) hire(ctx context.Context, e CallHire) {
+	sent := n.clock.Now()
+	ids, err := n.cloud.Hire(ctx, e.Name, e.Offer, e.Count)
+	n.post(ctx, HireDone{Name: e.Name, Offer: e.Offer, Sent: sent, Machines: ids, Verdict: n.verdictOf(err)})
+}
+
+func (n *Node) verdictOf(err error) rental.Verdict {
+	switch {
+	case err == nil:
+		return rental.Granted
+	case errors.Is(err, rental.ErrNoCapacity):
+		return rental.NoneLeft
+	case errors.Is(err, rental.ErrBusy):
+		n.met.Throttled.Inc()
+		return rental.Deferred
+	case errors.Is(err, rental.ErrMalformed):
+		n.log.Error("rental refused", "err", err)
+		return rental.Impossible
+	}
+	n.met.Uncertain.Inc()
+	return rental.Uncertain
+}
+
+func (n *Node) release(ctx context.Context, ids []unit.MachineID) {
+	err := n.cloud.Release(ctx, ids)
+	if err != nil {
+		n.log.Info("release not answered", "machines", ids, "err", err)
+	}
+	n.post(ctx, ReleaseDone{Machines: ids, OK: err == nil})
+}
+
+func (n *Node) list(ctx context.Context) {
+	done := ListDone{Sent: n.clock.Now(), OK: true}
+	since, more := unit.MachineID(""), true
+	for more && done.OK {
+		page, next, err := n.cloud.List(ctx, since)
+		if err != nil {
+			done.OK = false
+			break
+		}
+		done.Machines = append(done.Machines, page...)
+		if more = next; more {
+			since = page[len(page)-1].ID
+		}
+	}
+	n.post(ctx, done)
+}
+
+func (n *Node) flavors(ctx context.Context) {
+	types, err := n.cloud.Flavors(ctx)
+	if err != nil {
+		n.log.Info("machine types can't be read", "err", err)
+		types = n.keptFlavors(ctx)
+	} else {
+		n.keepFlavors(ctx, types)
+	}
+	n.post(ctx, FlavorsDone{Types: types})
+}
+
+// flavorsKey keeps the machine types, so that a node that starts while the
+// cloud is down can still tell what may run.
+const flavorsKey = "flavors"
+
+// keptFlavors reads the machine types that a leader has kept, or nil. A node
+// that knows them from the cloud keeps what it knows.
+func (n *Node) keptFlavors(ctx context.Context) []*fleet.Type {
+	if n.view.Load().types != nil {
+		return nil
+	}
+	item, err := n.store.Get(ctx, flavorsKey)
+	if n.note(err) != nil || item.Stamp == 0 {
+		return nil
+	}
+	types, err := rental.DecodeTypes(item.Value)
+	if err != nil {
+		n.log.Warn("kept machine types can't be read", "err", err)
+		return nil
+	}
+	n.log.Info("machine types taken from those kept", "types", len(types))
+	return types
+}
+
+// keepFlavors stores the machine types once a term, if this node leads.
+func (n *Node) keepFlavors(ctx context.Context, types []*fleet.Type) {
+	epoch := n.view.Load().epoch
+	value := rental.EncodeTypes(types)
+	if epoch == 0 || n.kept.Load() || statestore.JSONSize(value) > n.set.Params.State.Tight().ValueBytes() ||
+		!n.budget.TakeWrites(n.clock.Now(), statestore.UseFold, 1) {
+		return
+	}
+	_, err := n.store.Commit(ctx, statestore.Txn{
+		Guards: []statestore.Guard{{Key: leadership.Key, Stamp: unit.Version(epoch)}},
+		Writes: []statestore.Write{{Set: flavorsKey, Value: value}},
+	})
+	if n.note(err) == nil {
+		n.kept.Store(true)
+	}
+}
--- /dev/null
+++ b/internal/controller/failures.go
@@ -0,0 +1,71 @@
+package controller
+
+import (
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/unit"
+)
+
+const (
+	maxBackoff   = 30 * time.Second
+	avoidFaulty  = time.Minute
+	avoidRefused = 3 * time.Second
+	// suspectAfter failed tasks in a row, of jobs that run elsewhere, a
+	// machine gets no more.
+	suspectAfter = 3
+	// blameJob: after this many failures in a row on different machines it is
+	// the job, not the machines.
+	blameJob = 3
+)
+
+func (t *term) ended(now unit.Instant, ch fleet.Changes) {
+	for _, e := range ch.Ended {
+		t.dirty = true
+		j, m := e.Placement.Job, t.fleet.Machine(e.Placement.Machine)
+		t.c.log.Debug("task ended", "job", j.ID, "task", e.Placement.Task, "machine", e.Placement.Machine,
+			"cause", e.Cause, "attempt", e.Placement.Attempt, "epoch", t.epoch)
+		switch e.Cause {
+		case fleet.CauseError:
+			t.failed(now, j, m)
+		case fleet.CauseNoRoom, fleet.CauseBusy, fleet.CauseUnknown:
+			t.avoid(now, j, e.Placement.Machine, avoidRefused)
+			j.NotBefore = max(j.NotBefore, now.Add(time.Second))
+			t.c.met.Refusals.Inc()
+		case fleet.CauseIncomplete, fleet.CausePeers:
+			t.gangFailed(now, e.Placement)
+		case fleet.CauseDone:
+			if m != nil {
+				m.Suspect = 0
+			}
+		}
+	}
+}
+
+func (t *term) avoid(now unit.Instant, j *checkpoint.Job, id unit.MachineID, d time.Duration) {
+	if j.Avoid == nil {
+		j.Avoid = map[unit.MachineID]unit.Instant{}
+	}
+	j.Avoid[id] = now.Add(d)
+}
+
+// failed backs the job off, and counts the failure against the machine unless
+// the job fails wherever it goes.
+func (t *term) failed(now unit.Instant, j *checkpoint.Job, m *fleet.Machine) {
+	j.Errors++
+	wait := min(maxBackoff, 500*time.Millisecond<<min(j.Errors, 7))
+	j.NotBefore = max(j.NotBefore, now.Add(wait))
+	if m == nil {
+		return
+	}
+	t.avoid(now, j, m.ID, avoidFaulty)
+	if j.Errors > blameJob {
+		return
+	}
+	m.Suspect++
+	if m.Suspect >= suspectAfter && !m.Drained {
+		m.Drained = true
+		t.c.log.Info("machine drained as faulty", "machine", m.ID, "epoch", t.epoch)
+	}
+}
--- /dev/null
+++ b/internal/controller/load.go
@@ -0,0 +1,94 @@
+package controller
+
+import (
+	"context"
+	"errors"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/parts"
+	"badgerbay/internal/rollout"
+	"badgerbay/internal/round"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+func (n *Node) loadAll(ctx context.Context, epoch unit.Epoch) {
+	jobs, since, err := n.store.List(ctx, checkpoint.KeyPrefix)
+	var rounds, rest []statestore.Item
+	var agreed statestore.Item
+	if n.note(err) == nil {
+		rounds, _, err = n.store.List(ctx, round.KeyPrefix)
+	}
+	if n.note(err) == nil {
+		rest, _, err = n.store.List(ctx, parts.Prefix)
+	}
+	if n.note(err) == nil {
+		agreed, err = n.store.Get(ctx, rollout.Key)
+	}
+	if n.note(err) != nil {
+		n.log.Warn("records can't be read", "epoch", epoch, "err", err)
+		n.pause(ctx, retryUnsure)
+	}
+	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Jobs: jobs, Rounds: rounds, Parts: rest, Agreed: agreed})
+	if err == nil {
+		go n.relayDown(ctx, epoch, since)
+		n.watchJobs(ctx, epoch, since)
+	}
+}
+
+// watchJobs finds the jobs whose notice was lost on its way, while this node
+// leads. It looks at most once a second, so that the leader's own writes do
+// not come back one by one.
+func (n *Node) watchJobs(ctx context.Context, epoch unit.Epoch, since unit.Version) {
+	for n.leadsSince(epoch) {
+		log, next, err := n.store.Watch(ctx, checkpoint.KeyPrefix, since, watchHold)
+		switch {
+		case errors.Is(err, statestore.ErrCompacted):
+			since = n.rescan(ctx, since)
+		case err == nil:
+			since = max(since, next)
+			for _, c := range log {
+				if c.Set != "" {
+					n.post(ctx, Noticed{Job: unit.JobID(c.Set[len(checkpoint.KeyPrefix):]), Stamp: c.Stamp})
+				}
+			}
+		}
+		if !n.pause(ctx, watchBetween) {
+			return
+		}
+	}
+}
+
+// rescan lists all jobs, when the changes since the last look are not kept any
+// more, and returns the revision to go on from.
+func (n *Node) rescan(ctx context.Context, since unit.Version) unit.Version {
+	items, rev, err := n.store.List(ctx, checkpoint.KeyPrefix)
+	if n.note(err) != nil {
+		return since
+	}
+	for _, it := range items {
+		n.post(ctx, Noticed{Job: unit.JobID(it.Key[len(checkpoint.KeyPrefix):]), Stamp: it.Stamp})
+	}
+	return rev
+}
+
+// leadsSince tells whether this node still leads in the term that began with
+// the epoch, or has done so a moment ago; raises of the token keep the term.
+func (n *Node) leadsSince(epoch unit.Epoch) bool {
+	e := n.view.Load().epoch
+	return e >= epoch
+}
+
+func (n *Node) readJob(ctx context.Context, id unit.JobID) {
+	item, err := n.store.Get(ctx, checkpoint.Key(id))
+	values := map[int][]byte{}
+	for _, k := range checkpoint.PartNumbers(item.Value) {
+		if err != nil {
+			break
+		}
+		var part statestore.Item
+		part, err = n.store.Get(ctx, checkpoint.PartKey(id, k))
+		values[k] = part.Value
+	}
+	n.post(ctx, JobRead{Job: id, OK: n.note(err) == nil, Item: item, Parts: values})
+}
--- /dev/null
+++ b/internal/controller/relaydown.go
@@ -0,0 +1,148 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"badgerbay/internal/delegation"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/mesh"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
+)
+
+// relayDown serves the batches of cut-off nodes while this node leads. The
+// answers are guarded by the epoch like every write of the leader.
+func (n *Node) relayDown(ctx context.Context, epoch unit.Epoch, since unit.Version) {
+	answered := answeredBatches{}
+	for n.leadsSince(epoch) && ctx.Err() == nil {
+		log, next, err := n.store.Watch(ctx, mesh.UpPrefix, since, watchHold)
+		if err != nil {
+			if errors.Is(err, statestore.ErrCompacted) {
+				since = 0
+			}
+			n.pause(ctx, watchBetween)
+			continue
+		}
+		since = max(since, next)
+		latest := map[string]statestore.Change{}
+		for _, c := range log {
+			if c.Set != "" {
+				latest[c.Set] = c
+			}
+		}
+		for key, c := range latest {
+			n.serveUp(ctx, key[len(mesh.UpPrefix):], c, answered)
+		}
+	}
+}
+
+// answeredBatches holds, for each node, the last batch that was answered through
+// the state service, and when the answers left.
+type answeredBatches map[string]struct {
+	id string
+	at unit.Instant
+}
+
+// mostQuietMs bounds what a node may say of its quiet time: some decades.
+const mostQuietMs = 1 << 40
+
+// attest takes in what a node that is out of reach over the mesh says of its
+// grant. It said so after it had seen the answers that it names, so that counts
+// from when these left; a batch itself may be long on its way.
+func (n *Node) attest(ctx context.Context, answered answeredBatches, b *mesh.Batch) {
+	if last := answered[b.Node]; b.Echo != "" && last.id == b.Echo && b.QuietMs >= 0 && b.QuietMs < mostQuietMs {
+		n.post(ctx, PeerSaid{Node: b.Node, Sent: last.at,
+			Said: delegation.Said{Quiet: time.Duration(b.QuietMs) * time.Millisecond}, Form: b.Form})
+	}
+}
+
+func (n *Node) serveUp(ctx context.Context, node string, c statestore.Change, answered answeredBatches) {
+	if node == n.set.Label {
+		return
+	}
+	b, err := mesh.ExpandBatch(c.Value)
+	if err != nil {
+		n.met.BadBatches.Inc()
+		n.log.Warn("batch can't be read", "node", node, "err", err)
+		return
+	}
+	b.Node = node
+	n.attest(ctx, answered, b)
+	answers := n.serveBatch(ctx, b)
+	value, err := wire.Squeeze(answers)
+	for err == nil && len(answers.Reports) > 0 && len(value) > n.relayRoom() {
+		// What does not fit is answered by the next batch.
+		answers.Reports = answers.Reports[:len(answers.Reports)/2]
+		value, err = wire.Squeeze(answers)
+	}
+	if err != nil {
+		n.log.Error("answers can't be encoded", "err", err)
+		return
+	}
+	n.met.Relayed.Add(float64(len(answers.Reports)))
+	last := answered[node]
+	last.id, last.at = b.ID, n.clock.Now()
+	answered[node] = last
+	n.budget.TakeWrites(n.clock.Now(), statestore.UseLead, 1)
+	_, err = n.store.Commit(ctx, statestore.Txn{
+		Guards: []statestore.Guard{{Key: leadership.Key, Stamp: unit.Version(n.view.Load().epoch)}},
+		Writes: []statestore.Write{{Set: mesh.DownPrefix + node, Value: value}},
+	})
+	if n.note(err) != nil {
+		n.log.Debug("relayed answers not stored", "node", node, "err", err)
+	}
+}
+
+// serveBatch lets the core answer what another node hands over. An answer may
+// reach its worker late; that is safe, since a lease counts from when the
+// report was sent, and that was before the core took it in.
+func (n *Node) serveBatch(ctx context.Context, b *mesh.Batch) *mesh.Answers {
+	ctx, cancel := context.WithTimeout(ctx, relayGather)
+	defer cancel()
+	out := &mesh.Answers{ID: b.ID}
+	tickets := make([]chan ReplyReport, len(b.Reports))
+	if b.Node == "" {
+		b.Node = "?" // of a node that does not say
+	}
+	for i := range b.Reports {
+		if r, err := b.Reports[i].Unpack(); err == nil {
+			tickets[i] = make(chan ReplyReport, 1)
+			if !n.offer(Reported{Ticket: tickets[i], Report: r, Via: b.Node}) {
+				tickets[i] = nil
+			}
+		}
+	}
+	states := make([]chan mesh.AskState, len(b.Asks))
+	for i, a := range b.Asks {
+		states[i] = make(chan mesh.AskState, 1)
+		go func() {
+			s := mesh.AskState{Job: a.Job}
+			if t := n.askCore(ctx, a.Job, true); t.Outcome == intake.Known {
+				s.Standing, s.Done = string(t.Status.Standing), t.Status.Done
+			}
+			states[i] <- s
+		}()
+	}
+	for i, ticket := range tickets {
+		a := mesh.Answer{Machine: b.Reports[i].Machine, Code: http.StatusServiceUnavailable}
+		if ticket != nil {
+			select {
+			case reply := <-ticket:
+				if reply.Code == http.StatusOK && n.clock.Now().Before(reply.Until) {
+					a.Code, a.Epoch, a.Orders = http.StatusOK, reply.Epoch, mesh.PackOrders(reply.Orders)
+				}
+			case <-ctx.Done():
+			}
+		}
+		out.Reports = append(out.Reports, a)
+	}
+	for _, s := range states {
+		out.Asks = append(out.Asks, <-s)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controller/requests.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"sort"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/unit"
+)
+
+// waiter is a withdrawal whose answer waits for the checkpoint.
+type waiter struct {
+	ticket Ticket
+	until  unit.Instant
+}
+
+// waitStored bounds how long a withdrawal waits for its checkpoint.
+const waitStored = 1500 * time.Millisecond
+
+func (t *term) noticed(in Noticed) {
+	j := t.jobs[in.Job]
+	if t.reading[in.Job] || (j != nil && (in.Stamp <= j.Version || j.Writing)) || !t.loaded {
+		return
+	}
+	if j != nil && in.Stamp == 0 {
+		return
+	}
+	t.reading[in.Job] = true
+	t.c.emit(ReadJob{Job: in.Job})
+}
+
+func (t *term) jobRead(now unit.Instant, in JobRead) {
+	delete(t.reading, in.Job)
+	if !t.loaded || !in.OK || in.Item.Stamp == 0 {
+		return
+	}
+	j := t.jobs[in.Job]
+	if j == nil {
+		t.addJob(now, in.Job, in.Item, func(n int) []byte { return in.Parts[n] })
+		t.c.log.Info("job taken in", "job", in.Job, "class", t.jobs[in.Job].Spec.Class, "team", t.jobs[in.Job].Spec.Team, "tasks", t.jobs[in.Job].Spec.Tasks, "epoch", t.epoch)
+		return
+	}
+	if j.Writing || in.Item.Stamp <= j.Version {
+		return
+	}
+	// Only we change records, under the guard of our epoch: this is a write
+	// of ours whose answer was lost. Write again, on top of it.
+	t.c.met.CASConflicts.Inc()
+	j.Version, j.StoredFirst = in.Item.Stamp, checkpoint.FirstPart(in.Item.Value)
+	if r, err := checkpoint.Decode(in.Item.Value); err == nil && r.Phase.Final() {
+		if !j.Phase.Final() {
+			j.Phase, j.Queue = r.Phase, nil
+			t.haltAll(now, j)
+		}
+		j.StoredPhase = r.Phase
+	}
+	j.Touch(now)
+}
+
+// asked answers a poll, or begins a withdrawal.
+func (t *term) asked(now unit.Instant, in Asked) {
+	j := t.jobs[in.Job]
+	if j == nil {
+		t.noticed(Noticed{Job: in.Job})
+		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: intake.Absent})
+		return
+	}
+	if !in.Withdraw || j.StoredPhase.Final() {
+		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: intake.Known, Status: intake.StatusOf(j), Until: t.c.lead.EntitledUntil()})
+		return
+	}
+	if !j.Phase.Final() {
+		t.c.log.Info("job withdrawn", "job", j.ID, "epoch", t.epoch)
+	}
+	j.Cancel(now)
+	t.haltAll(now, j)
+	t.waiting[j.ID] = append(t.waiting[j.ID], waiter{in.Ticket, now.Add(waitStored)})
+	t.dirty = true
+}
+
+func (t *term) haltAll(now unit.Instant, j *checkpoint.Job) {
+	if j.Phase != checkpoint.Cancelled {
+		return
+	}
+	ids := make([]unit.TaskIndex, 0, len(j.Live))
+	for i := range j.Live {
+		ids = append(ids, i)
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+	for _, i := range ids {
+		if !t.proposed(j.Live[i]) {
+			t.fleet.Halt(now, j.Live[i], 0)
+		}
+	}
+}
+
+func (t *term) answerWaiters(id unit.JobID, o intake.Outcome, until unit.Instant) {
+	for _, w := range t.waiting[id] {
+		reply := ReplyAsk{Ticket: w.ticket, Outcome: o, Until: until}
+		if j := t.jobs[id]; j != nil {
+			reply.Status = intake.StatusOf(j)
+		}
+		t.c.emit(reply)
+	}
+	delete(t.waiting, id)
+}
--- /dev/null
+++ b/internal/controller/submit.go
@@ -0,0 +1,188 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/intake"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+func (n *Node) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := readBody(w, r, intake.MaxBody)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		n.answer(w, "", intake.Answer{Code: http.StatusBadRequest})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitBudget)
+	defer cancel()
+	begun := n.clock.Now()
+	id, ans := n.runSubmit(ctx, data, true)
+	if took := n.clock.Now().Sub(begun); ans.Code >= http.StatusTooManyRequests || took > slowSubmit {
+		n.log.Debug("submission not taken soon", "job", id, "status", ans.Code, "took", took, "retry", ans.RetryAfter, "state_reached", n.stateReachable(time.Second))
+	}
+	n.answer(w, id, ans)
+}
+
+// hedgeAfter is how long a submission waits for the state service before
+// another node is asked to store it as well.
+const hedgeAfter = 250 * time.Millisecond
+
+// hedgeLast is how long a submission that this node refuses waits for another
+// to take it, at most: a refusal must come at once.
+const hedgeLast = 400 * time.Millisecond
+
+// runSubmit decides a submission. One that this node can't store at once, for
+// want of the state service or of its share of the writes, is handed to the
+// others too: a job is stored only if it does not exist, so whichever node
+// comes first stores it, and the rest find it there.
+func (n *Node) runSubmit(ctx context.Context, data []byte, forward bool) (unit.JobID, intake.Answer) {
+	sub, err := intake.DecodeSubmission(data)
+	if err != nil {
+		n.log.Debug("submission refused", "err", err)
+		return "", intake.Answer{Code: http.StatusBadRequest}
+	}
+	req := intake.NewSubmit(sub, n.rules(), n.clock.Wall().UnixMilli())
+	if !forward {
+		return sub.ID, n.drive(ctx, sub.ID, req)
+	}
+	own := make(chan intake.Answer, 1)
+	go func() { own <- n.drive(ctx, sub.ID, req) }()
+	wait := hedgeAfter
+	if !n.stateReachable(time.Second) {
+		wait = 0
+	}
+	select {
+	case ans := <-own:
+		if ans.Code != http.StatusServiceUnavailable {
+			return sub.ID, ans
+		}
+		own <- ans
+	case <-time.After(wait):
+	}
+	return sub.ID, n.hedge(ctx, data, own)
+}
+
+// hedge hands a submission to the others and answers with what comes first
+// that accepts it; a refusal counts only once nobody is left to ask.
+func (n *Node) hedge(ctx context.Context, data []byte, own <-chan intake.Answer) intake.Answer {
+	others := make(chan intake.Answer, 1)
+	go func() { others <- n.handOver(ctx, data) }()
+	refusal := intake.Answer{Code: http.StatusServiceUnavailable, RetryAfter: time.Second}
+	var last <-chan time.Time
+	for range 2 {
+		select {
+		case ans := <-own:
+			if ans.Code != http.StatusServiceUnavailable {
+				return ans
+			}
+			refusal, last = ans, time.After(hedgeLast)
+		case ans := <-others:
+			if ans.Code == http.StatusOK || ans.Code == http.StatusCreated {
+				return ans
+			}
+		case <-last:
+			return refusal
+		case <-ctx.Done():
+			return refusal
+		}
+	}
+	return refusal
+}
+
+// slowSubmit is how long a submission may take without being logged.
+const slowSubmit = 500 * time.Millisecond
+
+// maxHandOver bounds how many others are asked to store a submission.
+const maxHandOver = 2
+
+// takers are the nodes that may store a submission that this one can't: the
+// others, beginning with a different one each time, so that none gets them all.
+// In a flood only one is asked. All users may have come to one node, and what is
+// left at the others must not go to waste: some ran out of the minute for which
+// they try.
+func (n *Node) takers() []string {
+	names := n.peers.Names()
+	if len(names) == 0 {
+		return nil
+	}
+	first := int(n.asked.Add(1)) % len(names)
+	out := append(slices.Clone(names[first:]), names[:first]...)
+	if n.pace.Flooded() {
+		return out[:1]
+	}
+	return out
+}
+
+// handOver asks others that the mesh reaches to store a submission.
+func (n *Node) handOver(ctx context.Context, data []byte) intake.Answer {
+	asked := 0
+	for _, name := range n.takers() {
+		if asked == maxHandOver || !n.meshWorks(name) {
+			continue
+		}
+		asked++
+		reply, err := n.peers.Accept(ctx, name, data)
+		if ctx.Err() == nil {
+			n.noteMesh(name, err)
+		}
+		if err == nil && (reply.Status == http.StatusOK || reply.Status == http.StatusCreated) {
+			return intake.Answer{Code: int(reply.Status), Status: intake.Status{Standing: intake.Standing(reply.Body)}}
+		}
+	}
+	return intake.Answer{Code: http.StatusServiceUnavailable}
+}
+
+func (n *Node) rules() *intake.Rules {
+	return &intake.Rules{Teams: n.teams, Zones: n.set.Params.Zones, Types: n.view.Load().types, State: n.set.Params.State.Tight()}
+}
+
+// create stores a job if it does not exist. Only refusals for want of changes
+// count for the pace: others may store what the state service refuses this node.
+func (n *Node) create(ctx context.Context, id unit.JobID, req *intake.Request, rec *checkpoint.Record) intake.CreateResult {
+	if now := n.clock.Now(); !n.budget.TakeWrites(now, statestore.UseSubmit, 1) {
+		req.SetRetry(n.budget.WriteWait(now, statestore.UseSubmit) + n.pace.Refused())
+		return intake.Refused
+	}
+	n.pace.Took()
+	key := checkpoint.Key(id)
+	_, err := n.store.Commit(ctx, statestore.Txn{
+		Guards: []statestore.Guard{{Key: key, Stamp: 0}},
+		Writes: []statestore.Write{{Set: key, Value: rec}},
+	})
+	var conflict *statestore.ConflictError
+	switch n.note(err); {
+	case err == nil:
+		go n.notify(id)
+		return intake.Stored
+	case errors.As(err, &conflict):
+		return intake.Exists
+	case errors.Is(err, statestore.ErrUncertain):
+		return intake.Uncertain
+	}
+	return intake.Refused
+}
+
+// notify tells the leader of a new job. If the notice is lost, the leader's
+// watch finds the job a moment later.
+func (n *Node) notify(id unit.JobID) {
+	v := n.view.Load()
+	if v.epoch != 0 {
+		n.offer(Noticed{Job: id})
+		return
+	}
+	if v.leader == "" || v.leader == n.set.Label {
+		return
+	}
+	if err := n.peers.Notice(context.Background(), v.leader, string(id)); err != nil {
+		n.log.Debug("notice lost", "job", id, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/controller/workers.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/wire"
+)
+
+// beatPath is where workers report.
+const beatPath = "/agent/beat"
+
+// beat answers a worker's report.
+func (n *Node) beat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := readBody(w, r, fleet.MaxBody)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	report, err := fleet.DecodeReport(data)
+	if err != nil {
+		n.log.Warn("report can't be read", "err", err)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if report.Strange > 0 {
+		n.log.Warn("tasks in a report can't be read", "machine", report.Machine, "tasks", report.Strange)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), reportBudget)
+	defer cancel()
+	ticket := make(chan ReplyReport, 1)
+	reply := ReplyReport{Code: http.StatusServiceUnavailable}
+	if n.offer(Reported{Ticket: ticket, Report: report}) {
+		select {
+		case reply = <-ticket:
+		case <-ctx.Done():
+		}
+	}
+	if !reply.Final && (reply.Code == http.StatusMisdirectedRequest || reply.Code == http.StatusServiceUnavailable && n.health.hint.Load() != "") {
+		reply = n.sendOn(ctx, report, reply)
+	}
+	n.answerReport(w, reply)
+}
+
+// sendOn sends a worker to the leader, or relays its report if it has just
+// come back from there without having reached it.
+func (n *Node) sendOn(ctx context.Context, r *fleet.Report, reply ReplyReport) ReplyReport {
+	leader := n.leader()
+	if leader == "" || leader == n.set.Label {
+		reply.Leader = ""
+		return reply
+	}
+	reply.Code, reply.Leader = http.StatusMisdirectedRequest, leader
+	// Where the mesh does not reach the leader, the worker hardly will; but a
+	// filter that refuses connections between nodes lets workers through, and
+	// relaying them all took the changes that submissions need.
+	works := func() bool { return n.meshWorks(leader) || n.peers.Refused(leader) }
+	if works() && n.relays.direct(n.clock.Now(), r.Machine, leader, works) {
+		return reply
+	}
+	return n.relayReport(ctx, leader, r)
+}
+
+func (n *Node) answerReport(w http.ResponseWriter, reply ReplyReport) {
+	var body []byte
+	var err error
+	switch reply.Code {
+	case http.StatusOK:
+		body, err = fleet.EncodeAnswer(reply.Epoch, reply.Orders)
+	case http.StatusMisdirectedRequest:
+		leader := reply.Leader
+		if leader == n.set.Label {
+			leader = ""
+		}
+		body, err = fleet.EncodeRedirect(leader)
+	}
+	// The last moment before the answer leaves: a process that was starved
+	// must not renew a worker's lease after its own entitlement has ended.
+	if err != nil || reply.Code == http.StatusOK && !reply.Relayed && !n.clock.Now().Before(reply.Until) {
+		reply.Code, body = http.StatusServiceUnavailable, nil
+	}
+	n.met.Reports.WithLabelValues(strconv.Itoa(reply.Code)).Inc()
+	if body != nil {
+		w.Header().Set("Content-Type", wire.ContentType)
+	}
+	w.WriteHeader(reply.Code)
+	w.Write(body)
+}
--- /dev/null
+++ b/internal/intake/rules.go
@@ -0,0 +1,88 @@
+package intake
+
+import (
+	"net/http"
+	"slices"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/config"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/round"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// Rules are what a submission is checked against.
+type Rules struct {
+	Teams map[unit.Team]config.Team
+	Zones []unit.Zone
+	Types []*fleet.Type // nil: not known yet
+	// State holds the limits of the state service that records keep to.
+	State config.State
+}
+
+// Check returns 0 if the job can run, 422 if it never can, and 503 if that
+// can't be decided yet.
+func (r *Rules) Check(s *checkpoint.Spec) int {
+	team, ok := r.Teams[s.Team]
+	if !ok {
+		return http.StatusUnprocessableEntity
+	}
+	tasks := 1
+	if s.Service || s.Gang {
+		tasks = s.Tasks
+	}
+	all := s.Need().Times(tasks)
+	if team.CPUsMax > 0 && all.CPUs > team.CPUsMax+1e-6 || team.GPUsMax > 0 && all.GPUs > team.GPUsMax+1e-6 {
+		return http.StatusUnprocessableEntity
+	}
+	if len(r.Types) == 0 {
+		return http.StatusServiceUnavailable
+	}
+	if !r.fitsSomewhere(s) || s.Gang && s.ZoneCap() < s.Tasks && !r.mayBeApart(s) {
+		return http.StatusUnprocessableEntity
+	}
+	if s.Gang && !round.GangFits(s, r.mostOnOne(s), statestore.JSONSize(s), r.State) {
+		return http.StatusUnprocessableEntity
+	}
+	return 0
+}
+
+// mostOnOne is how many of the tasks the largest machine holds that they may use.
+func (r *Rules) mostOnOne(s *checkpoint.Spec) int {
+	most := 0
+	for _, t := range r.Types {
+		zones := t.Zones
+		if len(zones) == 0 {
+			zones = r.Zones
+		}
+		if slices.ContainsFunc(zones, func(z unit.Zone) bool { return s.Allows(t.Name, z, false) || s.Allows(t.Name, z, true) }) {
+			most = max(most, t.Capacity.Holds(s.Need()))
+		}
+	}
+	return most
+}
+
+// mayBeApart tells whether a gang that must be spread has more than one zone to
+// run in: all its tasks run at once, so one zone is not enough.
+func (r *Rules) mayBeApart(s *checkpoint.Spec) bool {
+	return !s.OneZone && s.Zone == "" && len(r.Zones) > 1
+}
+
+func (r *Rules) fitsSomewhere(s *checkpoint.Spec) bool {
+	for _, t := range r.Types {
+		if !t.Capacity.Fits(s.Need()) {
+			continue
+		}
+		zones := t.Zones
+		if len(zones) == 0 {
+			zones = r.Zones
+		}
+		for _, z := range zones {
+			if s.Allows(t.Name, z, false) {
+				return true
+			}
+		}
+	}
+	return false
+}
