--- a/cmd/badgerbay/client.go
+++ b/cmd/badgerbay/client.go
@@ -78,13 +78,13 @@
 // Run prints the state of the job.
 func (c *statusCmd) Run() error { return c.call(http.MethodGet, "/submissions/"+c.ID, nil) }
 
-type withdrawCmd struct {
+type cancelCmd struct {
 	clientFlags
 	ID string `arg:"" help:"Job id."`
 }
 
-// Run withdraws the job and prints the answer.
-func (c *withdrawCmd) Run() error {
+// Run cancels the job and prints the answer.
+func (c *cancelCmd) Run() error {
 	return c.call(http.MethodPost, "/submissions/"+c.ID+"/withdraw", nil)
 }
 
--- a/cmd/badgerbay/main.go
+++ b/cmd/badgerbay/main.go
@@ -25,12 +25,12 @@
 var version = "dev"
 
 type cli struct {
-	Serve    serveCmd    `cmd:"" default:"withargs" help:"Run a controller node (the default)."`
-	Check    checkCmd    `cmd:"" help:"Check the settings and the policy, and exit."`
-	Version  versionCmd  `cmd:"" help:"Print the version."`
-	Submit   submitCmd   `cmd:"" help:"Submit a job from a JSON file."`
-	Status   statusCmd   `cmd:"" help:"Print the state of a job."`
-	Withdraw withdrawCmd `cmd:"" help:"Withdraw a job."`
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller node (the default)."`
+	Check   checkCmd   `cmd:"" help:"Check the settings and the policy, and exit."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+	Submit  submitCmd  `cmd:"" help:"Submit a job from a JSON file."`
+	Status  statusCmd  `cmd:"" help:"Print the state of a job."`
+	Cancel  cancelCmd  `cmd:"" help:"Cancel a job." aliases:"withdraw"`
 }
 
 type settingsFlags struct {
--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -181,7 +181,7 @@
 	j.Touch(now)
 }
 
-// Cancel withdraws the job unless it is over.
+// Cancel cancels the job unless it is over.
 func (j *Job) Cancel(now unit.Instant) {
 	if j.Phase.Final() {
 		return
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -143,7 +143,7 @@
 // Lease is how long a worker keeps its tasks without an answer.
 func (w Workers) Lease() time.Duration { return unit.Seconds(w.LeaseS) }
 
-// Cancel is how long the tasks of a withdrawn job may stay.
+// Cancel is how long the tasks of a cancelled job may stay.
 func (w Workers) Cancel() time.Duration { return unit.Seconds(w.CancelS) }
 
 // ListLag is the usual delay of the machine list.
--- a/internal/door/door_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -1,4 +1,4 @@
-package door
+package connlimit
 
 import (
 	"bufio"
@@ -17,17 +17,17 @@
 // TestBook: a connection finds room as long as another is missed less, and is
 // refused otherwise; strangers go before workers.
 func TestBook(t *testing.T) {
-	b := NewBook(Limits{All: 3, Patience: 10 * time.Second})
+	limiter := NewLimiter(Limits{All: 3, Patience: 10 * time.Second})
 	now := unit.Instant(time.Hour)
-	enter := func() (*Visit, *Visit) { return b.Enter(now, func() {}) }
+	enter := func() (*Conn, *Conn) { return limiter.Open(now, func() {}) }
 	worker, _ := enter()
-	b.Begin(worker, Worker)
-	b.End(now, worker)
+	limiter.Begin(worker, Worker)
+	limiter.End(now, worker)
 	now = now.Add(3 * time.Second)
 	silent, _ := enter()
 	busy, _ := enter()
-	b.Begin(busy, User)
-	if v, _ := enter(); v != nil || b.Refused != 1 {
+	limiter.Begin(busy, User)
+	if v, _ := enter(); v != nil || limiter.Refused != 1 {
 		t.Error("a fourth of three was let in, and nobody had waited long")
 	}
 	now = now.Add(2 * time.Second)
@@ -38,16 +38,16 @@
 		t.Error("a worker's connection was given up within its patience")
 	}
 	now = now.Add(6 * time.Second)
-	first := b.waiting[Stranger].Front().Value.(*Visit)
-	b.Begin(first, User)
+	first := limiter.waiting[Unidentified].Front().Value.(*Conn)
+	limiter.Begin(first, User)
 	if v, evict := enter(); v == nil || evict != worker {
 		t.Error("a worker that was silent for too long must make room")
 	}
-	b.Leave(worker) // its connection closes after it was evicted
-	if b.Open() != 3 || b.Count(User) != 2 || b.Count(Worker) != 0 || b.Count(Stranger) != 1 {
-		t.Errorf("%d open: %d users, %d workers, %d strangers", b.Open(), b.Count(User), b.Count(Worker), b.Count(Stranger))
+	limiter.Close(worker) // its connection closes after it was evicted
+	if limiter.Len() != 3 || limiter.Count(User) != 2 || limiter.Count(Worker) != 0 || limiter.Count(Unidentified) != 1 {
+		t.Errorf("%d open: %d users, %d workers, %d unidentified", limiter.Len(), limiter.Count(User), limiter.Count(Worker), limiter.Count(Unidentified))
 	}
-	if b.Begin(worker, Worker) {
+	if limiter.Begin(worker, Worker) {
 		t.Error("an evicted connection is kept")
 	}
 }
@@ -62,7 +62,7 @@
 		t.Fatal(err)
 	}
 	begun := time.Now()
-	d := New(l, Limits{All: 40, Patience: time.Minute}, func() unit.Instant { return unit.Instant(time.Hour + time.Since(begun)) })
+	limited := New(l, Limits{All: 40, Patience: time.Minute}, func() unit.Instant { return unit.Instant(time.Hour + time.Since(begun)) })
 	kind := func(r *http.Request) Kind {
 		if r.URL.Path == "/agent/beat" {
 			return Worker
@@ -70,8 +70,8 @@
 		return User
 	}
 	served := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") })
-	srv := &http.Server{Handler: d.Handler(kind, served), ConnContext: d.Context}
-	go srv.Serve(d)
+	srv := &http.Server{Handler: limited.Handler(kind, served), ConnContext: limited.Context}
+	go srv.Serve(limited)
 	t.Cleanup(func() { srv.Close() })
 	addr := l.Addr().String()
 	for range 15 { // they connect and say nothing
@@ -93,7 +93,7 @@
 		}
 		resp.Body.Close()
 	}
-	if s := d.Stats(); s.Open > 40 || s.Workers > 36 {
+	if s := limited.Stats(); s.Open > 40 || s.Workers > 36 {
 		t.Errorf("%+v: more than there is room for", s)
 	}
 }
--- a/internal/controller/gap_test.go
+++ b/internal/controller/cancelgap_test.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// play plays the gap. Jobs are withdrawn all along, and the outage outlasts the
-// time that a withdrawn job has. The rules are checked at every change.
+// play plays the gap. Jobs are cancelled all along, and the outage outlasts the
+// time that a cancelled job has. The rules are checked at every change.
 func (g gap) play(t *testing.T, seed uint64) {
 	s := newSim(t, seed)
 	small := batch
@@ -71,7 +71,7 @@
 	for i := range 12 {
 		// Before the election, in it, and up to the outage and a little later.
 		at := g.outage - 6*time.Second + time.Duration(i)*700*time.Millisecond
-		s.after(max(0, at), func() { s.withdraw(unit.JobID(fmt.Sprintf("wk-%06d", i+1))) })
+		s.after(max(0, at), func() { s.cancelJob(unit.JobID(fmt.Sprintf("wk-%06d", i+1))) })
 	}
 	confirmed := 0
 	s.after(g.outage, func() {
@@ -83,14 +83,14 @@
 		}
 	})
 	s.run(g.outage + s.set.Params.Workers.Cancel() + 15*time.Second)
-	t.Logf("%d withdrawals confirmed before the outage, %d tasks left after it", confirmed, len(s.on))
+	t.Logf("%d cancellations confirmed before the outage, %d tasks left after it", confirmed, len(s.on))
 	s.state.Down = false
 	s.run(20 * time.Second)
 	s.finish()
 }
 
 // TestGap sweeps the meeting that broke most schedulers: the state service
-// refuses the leader alone, others confirm withdrawals, and then it is out for
+// refuses the leader alone, others confirm cancellations, and then it is out for
 // all, for longer than cancel_s, while the workers go on reporting. The tasks
 // must be gone in time all the same; see docs/design.md for the bound.
 func TestGap(t *testing.T) {
@@ -109,7 +109,7 @@
 }
 
 // TestGapKeepsTheRest is the converse: through a gap whose outage a grant can
-// bridge, machines that hold nothing of a withdrawn job lose nothing.
+// bridge, machines that hold nothing of a cancelled job lose nothing.
 func TestGapKeepsTheRest(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -124,7 +124,7 @@
 			s.run(25 * time.Second)
 			old := s.leader()
 			s.refused[old.index] = true
-			s.after(7*time.Second, func() { s.withdraw(gone) })
+			s.after(7*time.Second, func() { s.cancelJob(gone) })
 			s.run(8 * time.Second)
 			owing := map[unit.MachineID]bool{}
 			for task, m := range s.on {
--- a/internal/controller/cloud.go
+++ b/internal/controller/cloud.go
@@ -25,12 +25,12 @@
 	if t.cloud.Level(now) < 1 {
 		return
 	}
-	if ids := t.desk.DueReleases(now); len(ids) > 0 {
+	if ids := t.rentals.DueReleases(now); len(ids) > 0 {
 		t.cloud.Take(now, 1, 0)
 		t.c.emit(CallRelease{Machines: ids})
 	}
 	for t.cloud.Level(now) >= 1 {
-		h := t.desk.Due(now)
+		h := t.rentals.Due(now)
 		if h == nil {
 			break
 		}
@@ -48,7 +48,7 @@
 }
 
 func (t *term) hireDone(now unit.Instant, in HireDone) {
-	if t.desk.Answered(now, in.Name, in.Verdict, len(in.Machines)) {
+	if t.rentals.Answered(now, in.Name, in.Verdict, len(in.Machines)) {
 		t.ring.SettleHire(in.Name)
 	}
 	t.dirty = true
@@ -67,7 +67,7 @@
 }
 
 func (t *term) releaseDone(now unit.Instant, in ReleaseDone) {
-	t.desk.Released(now, in.Machines, in.OK)
+	t.rentals.Released(now, in.Machines, in.OK)
 	if !in.OK {
 		return
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -9,11 +9,11 @@
 	"badgerbay/internal/config"
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/fleet"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/policy"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 // Core is the state machine of one node. It is not safe for concurrent use.
@@ -61,7 +61,7 @@
 // next tick. At 1,500 machines doing all of it for each report took 2 ms.
 func (c *Core) Step(now unit.Instant, in Input) []Effect {
 	c.out = nil
-	if gap := now.Sub(c.stepped); gap > asleep {
+	if gap := now.Sub(c.stepped); gap > stalledAfter {
 		c.woke = now
 		if c.stepped != 0 {
 			c.met.Stood.Inc()
@@ -87,14 +87,14 @@
 	return c.out
 }
 
-// asleep: a core that took no step for so long, although ticks come far more
+// stalledAfter: a core that took no step for so long, although ticks come far more
 // often, has stood still while its clocks ran on, or was starved.
-const asleep = 500 * time.Millisecond
+const stalledAfter = 500 * time.Millisecond
 
-// dozy tells whether the node woke so short a time ago that what it has not
+// justWoke tells whether the node woke so short a time ago that what it has not
 // heard since proves nothing: reports and answers were there to be heard while
 // it stood still.
-func (c *Core) dozy(now unit.Instant) bool {
+func (c *Core) justWoke(now unit.Instant) bool {
 	interval := c.set.Params.Workers.ReportInterval()
 	return now.Sub(c.woke) < interval+interval/2
 }
@@ -133,7 +133,7 @@
 		c.emit(LoadAll{Epoch: after})
 	default:
 		c.log.Info("no longer leading", "epoch", before)
-		c.keepOwn(now, before)
+		c.grantSelf(now, before)
 		c.budget.Lead(now, false)
 		c.term.abandon()
 		c.term = nil
@@ -199,7 +199,7 @@
 
 func (c *Core) asked(now unit.Instant, in Asked) {
 	if !c.lead.Entitled(now) || c.term == nil || !c.term.loaded {
-		c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: intake.NoLeader})
+		c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: userapi.NoLeader})
 		return
 	}
 	c.term.asked(now, in)
--- a/internal/controller/days_test.go
+++ b/internal/controller/days_test.go
@@ -10,8 +10,8 @@
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 func TestQuietDay(t *testing.T) {
@@ -39,15 +39,15 @@
 	}
 	s.crash(l, time.Second)
 	s.run(20 * time.Second)
-	s.withdraw(id)
+	s.cancelJob(id)
 	s.run(60 * time.Second)
-	if s.jobs[id].told != intake.Cancelled {
+	if s.jobs[id].told != userapi.Cancelled {
 		t.Errorf("still %q", s.jobs[id].told)
 	}
 }
 
 // TestCrashBetweenAnyTwoSteps crashes the leader before each of its effects in
-// turn: records, launches, rentals, folds, reaps, withdrawals. Its successor
+// turn: records, launches, rentals, folds, reaps, cancellations. Its successor
 // must go on, with nothing run twice and nothing lost.
 func TestCrashBetweenAnyTwoSteps(t *testing.T) {
 	for k := 1; k <= 60; k++ {
@@ -60,7 +60,7 @@
 			s.run(20 * time.Second)
 			s.submit(3, together, 8*time.Second)
 			s.run(25 * time.Second)
-			s.withdraw("wk-000003")
+			s.cancelJob("wk-000003")
 			s.run(60 * time.Second)
 			s.finish()
 			if s.crashAt > 0 {
@@ -122,8 +122,8 @@
 			}
 		})
 		s.load()
-		s.after(5*time.Second, func() { s.withdraw("wk-000003") })
-		s.after(9*time.Second, func() { s.withdraw("wk-000004") })
+		s.after(5*time.Second, func() { s.cancelJob("wk-000003") })
+		s.after(9*time.Second, func() { s.cancelJob("wk-000004") })
 		s.run(120 * time.Second)
 		s.finish()
 	})
@@ -182,7 +182,7 @@
 			s.after(15*time.Second, func() { s.state.Down = false })
 		})
 		s.load()
-		s.after(5*time.Second, func() { s.withdraw("wk-000003") })
+		s.after(5*time.Second, func() { s.cancelJob("wk-000003") })
 		s.run(150 * time.Second)
 		s.finish()
 	})
@@ -214,7 +214,7 @@
 			s.after(15*time.Second, func() { s.state.Down = false })
 		})
 		s.load()
-		s.after(5*time.Second, func() { s.withdraw("wk-000003") })
+		s.after(5*time.Second, func() { s.cancelJob("wk-000003") })
 		s.run(150 * time.Second)
 		s.finish()
 	})
@@ -222,7 +222,7 @@
 
 // TestZoneCuts plays days on which a zone is cut off from everything, state
 // service and cloud included, for less and more than a lease, with one node or
-// two in it, the leader among them or not; with crashes, freezes, withdrawals
+// two in it, the leader among them or not; with crashes, freezes, cancellations
 // and lonely nodes in the cut. What was held arrives after it.
 func TestZoneCuts(t *testing.T) {
 	eachSeed(t, 12, func(t *testing.T, seed uint64) {
@@ -261,7 +261,7 @@
 		})
 		s.load()
 		for i, id := range []unit.JobID{"wk-000003", "wk-000004", "wk-000007", "wk-000010", "wk-000008"} {
-			s.after(time.Duration(12+17*i)*time.Second, func() { s.withdraw(id) })
+			s.after(time.Duration(12+17*i)*time.Second, func() { s.cancelJob(id) })
 		}
 		s.run(220 * time.Second)
 		s.finish()
--- a/internal/controller/keep.go
+++ b/internal/controller/delegation.go
@@ -15,7 +15,7 @@
 // false if the node is not cut off, so that the leader is to answer.
 func (c *Core) keep(now unit.Instant, in Reported) bool {
 	if c.term != nil {
-		c.keepOwn(now, c.lead.Epoch())
+		c.grantSelf(now, c.lead.Epoch())
 	}
 	switch c.keeper.Judge(now, c.from, in.Report) {
 	case delegation.Keep:
@@ -28,7 +28,7 @@
 		c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusOK, Epoch: c.keeper.Epoch(), Until: c.keeper.Until(), Final: true})
 	case delegation.Probe:
 		c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusMisdirectedRequest, Leader: c.outside, Final: true})
-	case delegation.SendOn:
+	case delegation.Refuse:
 		c.emit(ReplyReport{Ticket: in.Ticket, Code: http.StatusMisdirectedRequest, Final: true})
 	default:
 		return false
@@ -36,12 +36,12 @@
 	return true
 }
 
-// keepOwn grants this node, which led in the epoch, what it would have granted
+// grantSelf grants this node, which led in the epoch, what it would have granted
 // another at the last moment of its entitlement. Until then nobody else can have
 // confirmed a cancellation, and those that it confirmed itself it knows; who
 // leads next acquires the key later, and counts every grant from there. A leader
 // that resigns is not entitled from that moment on, whatever its lease allows.
-func (c *Core) keepOwn(now unit.Instant, epoch unit.Epoch) {
+func (c *Core) grantSelf(now unit.Instant, epoch unit.Epoch) {
 	base := min(c.lead.LastEntitled(), now)
 	if !c.term.loaded || base == 0 || base == c.keeper.Base() {
 		return
@@ -88,7 +88,7 @@
 // given.
 const maxOwing = 500
 
-// grant is what the leader lets others do. Machines with tasks of withdrawn
+// grant is what the leader lets others do. Machines with tasks of cancelled
 // jobs are left out: those must be gone in time, whatever is cut.
 func (t *term) grant(epoch unit.Epoch) delegation.Said {
 	s := delegation.Said{Epoch: epoch, Life: delegation.Life(t.c.set.Params.Workers)}
--- a/internal/controller/folds.go
+++ b/internal/controller/fold.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 // foldFlight is a fold that is being written.
@@ -141,7 +141,7 @@
 		t.ring.Folded(j.ID, fj.round)
 		if fj.phase.Final() {
 			t.c.log.Info("job over", "job", j.ID, "phase", fj.phase, "epoch", t.epoch)
-			t.answerWaiters(j.ID, intake.Known, t.c.lead.EntitledUntil())
+			t.answerWaiters(j.ID, userapi.Known, t.c.lead.EntitledUntil())
 		}
 	}
 }
--- a/internal/controller/gangs_test.go
+++ b/internal/controller/gangs_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 var gangSeeds = flag.Int("gangseeds", 2, "days of each trouble of TestGangs, each with other luck")
@@ -45,7 +45,7 @@
 			}
 		})
 	}},
-	{"cuts, outages, withdrawals", func(s *sim) {
+	{"cuts, outages, cancellations", func(s *sim) {
 		s.again(40*sec, 60*sec, func() {
 			s.zoneCut = s.set.Params.Zones[s.rng.IntN(2)]
 			s.after(s.between(10*sec, 40*sec), s.heal)
@@ -183,8 +183,8 @@
 		if stopped != 1 {
 			t.Errorf("delay %v: %d gangs were stopped, one is enough", delay, stopped)
 		}
-		s.withdraw(first)
-		s.withdraw(second)
+		s.cancelJob(first)
+		s.cancelJob(second)
 		s.run(sec)
 		s.finish()
 	}
@@ -219,7 +219,7 @@
 		before.Tasks, before.CPUs, before.Spread, before.Spot = 6, 6, true, false
 		s.submit(9, before, 3*time.Second)
 		for range 600 {
-			if s.run(50 * time.Millisecond); s.jobs["wk-000009"].told == intake.Done {
+			if s.run(50 * time.Millisecond); s.jobs["wk-000009"].told == userapi.Done {
 				break
 			}
 		}
--- a/internal/controller/reach.go
+++ b/internal/controller/handover.go
@@ -102,14 +102,14 @@
 	return best
 }
 
-// cannotLead hands leadership over if another node can do the work better, and
+// handOverIfMissed hands leadership over if another node can do the work better, and
 // rests so that this one is not elected again at once.
-func (t *term) cannotLead(now unit.Instant) bool {
+func (t *term) handOverIfMissed(now unit.Instant) bool {
 	if t.flight != nil || t.fold != nil || t.c.lead.Raising() {
 		return false
 	}
 	interval := t.c.set.Params.Workers.ReportInterval()
-	if t.c.dozy(now) || now.Sub(t.acquired) < interval+interval/4 {
+	if t.c.justWoke(now) || now.Sub(t.acquired) < interval+interval/4 {
 		// It has heard nobody because it stood still itself, or because the
 		// workers have not had the time to come.
 		t.reach.since = 0
--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -10,8 +10,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"badgerbay/internal/connlimit"
 	"badgerbay/internal/delegation"
-	"badgerbay/internal/door"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/mesh/meshpb"
 	"badgerbay/internal/unit"
@@ -84,7 +84,7 @@
 	return delegation.Outage
 }
 
-// askVouch asks a peer for a grant, and for what it has done by its own.
+// askDelegation asks a peer for a grant, and for what it has done by its own.
 func (n *Node) askDelegation(ctx context.Context, name string) error {
 	sent := n.clock.Now()
 	data, err := msgpack.Marshal(mesh.Batch{Node: n.set.Label, Delegation: true})
@@ -110,7 +110,7 @@
 	return nil
 }
 
-// sayVouch answers a peer that asks, or not at all if the core is overloaded.
+// sayDelegation answers a peer that asks, or not at all if the core is overloaded.
 func (n *Node) sayDelegation(ctx context.Context, node string) *mesh.Delegation {
 	ticket := make(chan ReplyPeer, 1)
 	if !n.offer(PeerAsked{Ticket: ticket, Node: node}) {
@@ -128,7 +128,7 @@
 const loadEvery = 5 * time.Second
 
 // watchLoad logs what the process holds of what its machine grants.
-func (n *Node) watchLoad(ctx context.Context, d *door.Door) {
+func (n *Node) watchLoad(ctx context.Context, d *connlimit.Listener) {
 	for n.pause(ctx, loadEvery) {
 		if !n.log.Enabled(ctx, slog.LevelDebug) {
 			return
--- a/internal/controller/leaderkey.go
+++ b/internal/controller/leaderkey.go
@@ -60,7 +60,7 @@
 	return h, unit.Epoch(item.Stamp), nil
 }
 
-// reseal raises the token and settles the outcome by reading the key back: the
+// setToken raises the token and settles the outcome by reading the key back: the
 // writes of the leader wait until it is known.
 func (n *Node) setToken(ctx context.Context, e leadership.SetToken) {
 	v, err := n.store.Commit(ctx, holderTxn(e.Prev, e.Holder, e.Tenure))
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -28,18 +28,18 @@
 }
 
 // TestLeadersThatKnowNothing: leaders that change before they have read the
-// records must not renew the leases of withdrawn tasks again and again. They
+// records must not renew the leases of cancelled tasks again and again. They
 // answered reports with a 200 and no orders: a machine that heard nothing as a job was
-// withdrawn ran its tasks for as long as leaders came and went.
+// cancelled ran its tasks for as long as leaders came and went.
 func TestLeadersThatKnowNothing(t *testing.T) {
 	s := newSim(t, 3)
 	id := s.submit(1, batch, 10*time.Minute)
 	s.run(25 * time.Second)
 	s.deaf[s.machineOf(id)] = s.now.Add(4 * time.Second)
-	s.withdraw(id)
+	s.cancelJob(id)
 	s.run(500 * time.Millisecond)
 	if s.jobs[id].cancelled == 0 {
-		t.Fatal("the withdrawal was not confirmed")
+		t.Fatal("the cancellation was not confirmed")
 	}
 	s.slowLoads = 20 * time.Second
 	for range 16 {
@@ -84,12 +84,12 @@
 	})
 }
 
-// callOff withdraws n jobs that run, at once.
+// callOff cancels n jobs that run, at once.
 func (s *sim) callOff(n int) {
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		if j := s.jobs[id]; n > 0 && !j.spec.Service && !j.over() && s.anyOn(id) {
 			n--
-			s.after(s.between(0, 200*time.Millisecond), func() { s.withdraw(id) })
+			s.after(s.between(0, 200*time.Millisecond), func() { s.cancelJob(id) })
 		}
 	}
 }
@@ -143,14 +143,14 @@
 	what  string
 	begin func(*sim)
 }{
-	{"limit, takeover, machines that can't be asked, withdrawals", func(s *sim) {
+	{"limit, takeover, machines that can't be asked, cancellations", func(s *sim) {
 		s.again(15*sec, 30*sec, func() {
 			s.deafen(0.4, 5*sec, 40*sec)
 			s.after(s.between(0, 6*sec), func() { s.crashLeader(6 * sec) })
 			s.after(s.between(0, 12*sec), func() { s.callOff(3) })
 		})
 	}},
-	{"withdrawals and questions at the end of the last task", func(s *sim) {
+	{"cancellations and questions at the end of the last task", func(s *sim) {
 		s.atEnd = 0.8
 		s.again(20*sec, 40*sec, func() { s.crashLeader(2 * sec) })
 	}},
@@ -221,7 +221,7 @@
 		s.again(4*sec, 9*sec, func() { s.hang(0.3, sec, 9*sec); s.callOff(1) })
 		s.again(20*sec, 35*sec, func() { s.crashLeader(4 * sec) })
 	}},
-	{"leader without state service and peers, withdrawals through the new one", func(s *sim) {
+	{"leader without state service and peers, cancellations through the new one", func(s *sim) {
 		s.again(25*sec, 35*sec, func() {
 			s.isolate(s.between(8*sec, 30*sec))
 			s.after(s.between(6*sec, 10*sec), func() { s.callOff(3) })
--- a/internal/controller/meshserver.go
+++ b/internal/controller/meshserver.go
@@ -6,10 +6,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"badgerbay/internal/intake"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/mesh/meshpb"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 // meshServer answers the other nodes.
@@ -18,16 +18,16 @@
 	n *Node
 }
 
-// Ask answers a poll or a withdrawal that another node forwards.
+// Ask answers a poll or a cancellation that another node forwards.
 func (s *meshServer) Ask(ctx context.Context, r *meshpb.AskRequest) (*meshpb.AskReply, error) {
 	id, err := unit.ParseJobID(r.Job)
 	if err != nil || s.n.view.Load().epoch == 0 {
 		return &meshpb.AskReply{Outcome: meshpb.Outcome_OUTCOME_NOT_LEADER}, nil
 	}
 	t := s.n.askCore(ctx, id, r.Withdraw)
-	outcome := map[intake.Outcome]meshpb.Outcome{
-		intake.Known: meshpb.Outcome_OUTCOME_KNOWN, intake.Absent: meshpb.Outcome_OUTCOME_ABSENT,
-		intake.Busy: meshpb.Outcome_OUTCOME_BUSY, intake.NoLeader: meshpb.Outcome_OUTCOME_NOT_LEADER}[t.Outcome]
+	outcome := map[userapi.Outcome]meshpb.Outcome{
+		userapi.Known: meshpb.Outcome_OUTCOME_KNOWN, userapi.Absent: meshpb.Outcome_OUTCOME_ABSENT,
+		userapi.Busy: meshpb.Outcome_OUTCOME_BUSY, userapi.NoLeader: meshpb.Outcome_OUTCOME_NOT_LEADER}[t.Outcome]
 	return &meshpb.AskReply{Outcome: outcome, Standing: string(t.Status.Standing),
 		Done: uint32(t.Status.Done), Running: uint32(t.Status.Running)}, nil
 }
@@ -65,7 +65,7 @@
 
 // Accept stores a submission for a node that can't.
 func (s *meshServer) Accept(ctx context.Context, r *meshpb.AcceptRequest) (*meshpb.AcceptReply, error) {
-	if len(r.Submission) > intake.MaxBody {
+	if len(r.Submission) > userapi.MaxBody {
 		return &meshpb.AcceptReply{Status: http.StatusBadRequest}, nil
 	}
 	_, ans := s.n.runSubmit(ctx, r.Submission, false)
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -6,12 +6,12 @@
 import (
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/fleet"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 // Ticket tells whom to answer; the core only hands it back.
@@ -64,11 +64,11 @@
 		Epoch   unit.Epoch
 		Report  *fleet.Report
 	}
-	// Asked is a poll or a withdrawal.
+	// Asked is a poll or a cancellation.
 	Asked struct {
-		Ticket   Ticket
-		Job      unit.JobID
-		Withdraw bool
+		Ticket Ticket
+		Job    unit.JobID
+		Cancel bool
 	}
 	// Noticed says that a job was stored, or has changed.
 	Noticed struct {
@@ -188,11 +188,11 @@
 		Ticket Ticket
 		Said   delegation.Said
 	}
-	// ReplyAsk answers a poll or a withdrawal; Known must leave before Until.
+	// ReplyAsk answers a poll or a cancellation; Known must leave before Until.
 	ReplyAsk struct {
 		Ticket  Ticket
-		Outcome intake.Outcome
-		Status  intake.Status
+		Outcome userapi.Outcome
+		Status  userapi.Status
 		Until   unit.Instant
 	}
 	// CallHire rents machines.
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -5,7 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"badgerbay/internal/checkpoint"
-	"badgerbay/internal/door"
+	"badgerbay/internal/connlimit"
 	"badgerbay/internal/unit"
 )
 
@@ -87,16 +87,16 @@
 }
 
 // watchDoor adds the connections of workers and users.
-func (m *Metrics) watchDoor(d *door.Door) {
-	watch := func(name, help string, of func(door.Stats) int) {
+func (m *Metrics) watchDoor(d *connlimit.Listener) {
+	watch := func(name, help string, of func(connlimit.Stats) int) {
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "badgerbay", Name: name, Help: help},
 			func() float64 { return float64(of(d.Stats())) }))
 	}
-	watch("connections", "Connections of workers, users and those who have said nothing.", func(s door.Stats) int { return s.Open })
-	watch("worker_connections", "Connections of workers.", func(s door.Stats) int { return s.Workers })
-	watch("user_connections", "Connections of users and of the load balancer's probes.", func(s door.Stats) int { return s.Users })
-	watch("connections_evicted", "Connections closed so far to make room for others.", func(s door.Stats) int { return s.Evicted })
-	watch("connections_refused", "Connections closed so far for want of room.", func(s door.Stats) int { return s.Refused })
+	watch("connections", "Connections of workers, users and those who have said nothing.", func(s connlimit.Stats) int { return s.Open })
+	watch("worker_connections", "Connections of workers.", func(s connlimit.Stats) int { return s.Workers })
+	watch("user_connections", "Connections of users and of the load balancer's probes.", func(s connlimit.Stats) int { return s.Users })
+	watch("connections_evicted", "Connections closed so far to make room for others.", func(s connlimit.Stats) int { return s.Evicted })
+	watch("connections_refused", "Connections closed so far for want of room.", func(s connlimit.Stats) int { return s.Refused })
 }
 
 // watch sets the gauges of a leader.
@@ -116,7 +116,7 @@
 	m.CheckpointAge.Set(age)
 	m.Pending.Set(float64(pending))
 	m.Queued.Set(float64(queued))
-	m.UnsureHires.Set(float64(t.desk.UncertainHires()))
+	m.UnsureHires.Set(float64(t.rentals.UncertainHires()))
 	m.Machines.Set(float64(t.fleet.Len()))
 	m.RingFree.Set(float64(t.ring.Free()))
 	m.Tombstones.Set(float64(t.fleet.Tombstones()))
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -15,14 +15,14 @@
 	"golang.org/x/net/netutil"
 
 	"badgerbay/internal/config"
-	"badgerbay/internal/door"
+	"badgerbay/internal/connlimit"
 	"badgerbay/internal/fleet"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/policy"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 const (
@@ -56,12 +56,12 @@
 	inbox  chan Input
 	view   atomic.Pointer[view]
 	health health
-	pace   *intake.Pace
+	pace   *userapi.RetryPacer
 	asked  atomic.Uint32 // submissions that others were asked to store
 
 	kept       atomic.Bool  // the machine types are stored
 	quietSince atomic.Int64 // see delegation.Keeper
-	relays     relayDesk
+	relays     relayedWorkers
 	relayOut   chan relayItem
 	meshFailed sync.Map // peer to the Instant of its last failure
 }
@@ -83,7 +83,7 @@
 		stop:   make(chan error, 1),
 		inbox:  make(chan Input, inboxSize), relayOut: make(chan relayItem, relayQueue)}
 	n.health.hint.Store("")
-	n.pace = intake.NewPace(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	n.pace = userapi.NewRetryPacer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.core = NewCore(set, pol, clock, n.budget, rng, log, n.met)
 	n.view.Store(&view{})
@@ -168,24 +168,24 @@
 // sockets. At the leader every machine holds one; there may be more machines
 // than that. A listener that stopped accepting left them, and with them users
 // and the load balancer's probes, without an answer.
-func (n *Node) newDoor(l net.Listener) *door.Door {
-	d := door.New(l, door.Limits{All: sockets(n.set, listenShare), Patience: 2*n.set.Params.Workers.ReportInterval() + time.Second}, n.clock.Now)
+func (n *Node) newDoor(l net.Listener) *connlimit.Listener {
+	d := connlimit.New(l, connlimit.Limits{All: sockets(n.set, listenShare), Patience: 2*n.set.Params.Workers.ReportInterval() + time.Second}, n.clock.Now)
 	n.met.watchDoor(d)
 	return d
 }
 
-func (n *Node) newServer(d *door.Door) *http.Server {
+func (n *Node) newServer(d *connlimit.Listener) *http.Server {
 	return &http.Server{Handler: d.Handler(visitor, n.routes()), ConnContext: d.Context,
 		ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
 		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 }
 
 // visitor tells who makes a request.
-func visitor(r *http.Request) door.Kind {
+func visitor(r *http.Request) connlimit.Kind {
 	if r.URL.Path == beatPath {
-		return door.Worker
+		return connlimit.Worker
 	}
-	return door.User
+	return connlimit.User
 }
 
 // act is the actor: it alone touches the core.
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -32,9 +32,9 @@
 	answerMargin = 1024
 )
 
-// relayDesk remembers which workers were sent to the leader, and which of them
+// relayedWorkers remembers which workers were sent to the leader, and which of them
 // are relayed because they could not reach it.
-type relayDesk struct {
+type relayedWorkers struct {
 	mu      sync.Mutex
 	workers map[unit.MachineID]*relayed
 }
@@ -48,7 +48,7 @@
 
 // direct tells whether a worker should be sent to the leader rather than be
 // relayed. meshWorks tells whether the leader is reached over the mesh.
-func (d *relayDesk) direct(now unit.Instant, id unit.MachineID, leader string, meshWorks func() bool) bool {
+func (d *relayedWorkers) direct(now unit.Instant, id unit.MachineID, leader string, meshWorks func() bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.workers == nil {
@@ -75,7 +75,7 @@
 	return true
 }
 
-func (d *relayDesk) noteLate(id unit.MachineID) {
+func (d *relayedWorkers) noteLate(id unit.MachineID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if w := d.workers[id]; w != nil {
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -22,7 +22,7 @@
 // TestWorkersThatComeBackAreRelayed: a worker is sent to the leader first; one
 // that comes back soon could not reach it, and is relayed for a while.
 func TestWorkersThatComeBackAreRelayed(t *testing.T) {
-	d := &relayDesk{}
+	d := &relayedWorkers{}
 	now := unit.Instant(time.Hour)
 	works := func() bool { return true }
 	if !d.direct(now, "host-1", "n1", works) {
@@ -194,13 +194,13 @@
 	}
 	for g.now.Sub(tm.acquired) < interval+interval/4 {
 		hear()
-		if tm.cannotLead(g.now) {
+		if tm.handOverIfMissed(g.now) {
 			t.Fatalf("handed over after %v", g.now.Sub(tm.acquired))
 		}
 		g.now = g.now.Add(200 * time.Millisecond)
 	}
 	begun := g.now
-	for !tm.cannotLead(g.now) && g.now.Sub(begun) < time.Minute {
+	for !tm.handOverIfMissed(g.now) && g.now.Sub(begun) < time.Minute {
 		hear()
 		g.now = g.now.Add(200 * time.Millisecond)
 	}
--- a/internal/controller/relaydown.go
+++ b/internal/controller/relaydown.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"badgerbay/internal/delegation"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 	"badgerbay/internal/wire"
 )
 
@@ -122,7 +122,7 @@
 		states[i] = make(chan mesh.AskState, 1)
 		go func() {
 			s := mesh.AskState{Job: a.Job}
-			if t := n.askCore(ctx, a.Job, true); t.Outcome == intake.Known {
+			if t := n.askCore(ctx, a.Job, true); t.Outcome == userapi.Known {
 				s.Standing, s.Done = string(t.Status.Standing), t.Status.Done
 			}
 			states[i] <- s
--- a/internal/controller/relayup.go
+++ b/internal/controller/relayup.go
@@ -7,11 +7,11 @@
 	"strconv"
 	"time"
 
-	"badgerbay/internal/intake"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 	"badgerbay/internal/wire"
 )
 
@@ -166,20 +166,20 @@
 	}
 }
 
-// relayAsk withdraws a job through the state service.
-func (n *Node) relayAsk(ctx context.Context, id unit.JobID) intake.Told {
+// relayAsk cancels a job through the state service.
+func (n *Node) relayAsk(ctx context.Context, id unit.JobID) userapi.Told {
 	item := relayItem{ask: id, state: make(chan mesh.AskState, 1), until: n.clock.Now().Add(reportBudget)}
 	select {
 	case n.relayOut <- item:
 	default:
-		return intake.Told{Outcome: intake.NoLeader}
+		return userapi.Told{Outcome: userapi.NoLeader}
 	}
 	select {
 	case s := <-item.state:
 		if s.Standing != "" {
-			return intake.Told{Outcome: intake.Known, Status: intake.Status{Standing: intake.Standing(s.Standing), Done: s.Done}}
+			return userapi.Told{Outcome: userapi.Known, Status: userapi.Status{Standing: userapi.Standing(s.Standing), Done: s.Done}}
 		}
 	case <-ctx.Done():
 	}
-	return intake.Told{Outcome: intake.NoLeader}
+	return userapi.Told{Outcome: userapi.NoLeader}
 }
--- a/internal/controller/returns.go
+++ b/internal/controller/release.go
@@ -17,7 +17,7 @@
 			out = append(out, round.Coming{Offer: rental.Offer{Type: m.Type, Zone: m.Zone, Spot: m.Spot}})
 		}
 	}
-	for _, h := range t.desk.Pending() {
+	for _, h := range t.rentals.Pending() {
 		for range h.Count {
 			out = append(out, round.Coming{Offer: h.Offer})
 		}
@@ -62,7 +62,7 @@
 		}
 		idle := !m.Busy() && (now.Sub(m.IdleSince) > t.idleLimit(m) && !keep[m.ID] || m.Drained || m.Vacating)
 		if m.Session == 0 {
-			idle = t.overdue(now, m) && !t.c.dozy(now)
+			idle = t.overdue(now, m) && !t.c.justWoke(now)
 		}
 		if !idle && !m.Failed && !silent[m.ID] {
 			continue
@@ -94,7 +94,7 @@
 func (t *term) silent(now unit.Instant) map[unit.MachineID]bool {
 	// While a node is out of reach, a machine may be cut off with it; and a
 	// leader that stood still itself does not know who went on.
-	if t.c.cut || t.c.dozy(now) {
+	if t.c.cut || t.c.justWoke(now) {
 		return nil
 	}
 	zones := map[unit.Zone]*hush{}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -21,7 +21,7 @@
 
 // park lets a report wait for the records. Without them nobody knows what must
 // end, and an answer without that order renews the lease of what a user was told
-// is withdrawn: leaders that came and went before they had read anything kept
+// is cancelled: leaders that came and went before they had read anything kept
 // such tasks running for as long as they did.
 func (t *term) park(now unit.Instant, in Reported) {
 	t.parked = append(t.parked, parked{in, now.Add(parkFor)})
@@ -38,8 +38,8 @@
 	})
 }
 
-// unpark takes in the reports that waited for the records.
-func (t *term) unpark(now unit.Instant) {
+// answerParked takes in the reports that waited for the records.
+func (t *term) answerParked(now unit.Instant) {
 	waited := t.parked
 	t.parked = nil
 	for _, p := range waited {
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -5,17 +5,17 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
-// waiter is a withdrawal whose answer waits for the checkpoint.
+// waiter is a cancellation whose answer waits for the checkpoint.
 type waiter struct {
 	ticket Ticket
 	until  unit.Instant
 }
 
-// waitStored bounds how long a withdrawal waits for its checkpoint.
+// waitStored bounds how long a cancellation waits for its checkpoint.
 const waitStored = 1500 * time.Millisecond
 
 func (t *term) noticed(in Noticed) {
@@ -58,20 +58,20 @@
 	j.Touch(now)
 }
 
-// asked answers a poll, or begins a withdrawal.
+// asked answers a poll, or begins a cancellation.
 func (t *term) asked(now unit.Instant, in Asked) {
 	j := t.jobs[in.Job]
 	if j == nil {
 		t.noticed(Noticed{Job: in.Job})
-		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: intake.Absent})
+		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: userapi.Absent})
 		return
 	}
-	if !in.Withdraw || j.StoredPhase.Final() {
-		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: intake.Known, Status: intake.StatusOf(j), Until: t.c.lead.EntitledUntil()})
+	if !in.Cancel || j.StoredPhase.Final() {
+		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: userapi.Known, Status: userapi.StatusOf(j), Until: t.c.lead.EntitledUntil()})
 		return
 	}
 	if !j.Phase.Final() {
-		t.c.log.Info("job withdrawn", "job", j.ID, "epoch", t.epoch)
+		t.c.log.Info("job cancelled", "job", j.ID, "epoch", t.epoch)
 	}
 	j.Cancel(now)
 	t.haltAll(now, j)
@@ -95,11 +95,11 @@
 	}
 }
 
-func (t *term) answerWaiters(id unit.JobID, o intake.Outcome, until unit.Instant) {
+func (t *term) answerWaiters(id unit.JobID, o userapi.Outcome, until unit.Instant) {
 	for _, w := range t.waiting[id] {
 		reply := ReplyAsk{Ticket: w.ticket, Outcome: o, Until: until}
 		if j := t.jobs[id]; j != nil {
-			reply.Status = intake.StatusOf(j)
+			reply.Status = userapi.StatusOf(j)
 		}
 		t.c.emit(reply)
 	}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -142,7 +142,7 @@
 // undo takes back a round that surely was not stored.
 func (t *term) undo(now unit.Instant, f *flight) {
 	for _, p := range f.places {
-		t.fleet.Withdraw(now, p)
+		t.fleet.Retract(now, p)
 	}
 	for _, id := range f.record.Releases {
 		if m := t.fleet.Machine(id); m != nil {
@@ -201,11 +201,11 @@
 	}
 	for _, h := range r.Hires {
 		t.c.log.Info("renting", "hire", h.Name, "type", h.Offer.Type, "zone", h.Offer.Zone, "spot", h.Offer.Spot, "count", h.Count, "job", f.hireFor, "round", r.No, "epoch", t.epoch)
-		t.desk.Hire(now, h.Name, h.Offer, h.Count, false)
+		t.rentals.Hire(now, h.Name, h.Offer, h.Count, false)
 	}
 	if len(r.Releases) > 0 {
 		t.c.log.Info("returning", "machines", r.Releases, "round", r.No, "epoch", t.epoch)
-		t.desk.Release(r.Releases...)
+		t.rentals.Release(r.Releases...)
 	}
 	t.c.log.Debug("round", "round", r.No, "epoch", t.epoch, "starts", len(f.places), "hires", len(r.Hires), "releases", len(r.Releases))
 }
@@ -218,7 +218,7 @@
 	}
 	m := t.fleet.Machine(p.Machine)
 	if p.Job.Phase.Final() || m == nil || m.Session != p.Session || !t.fleet.Placeable(m) {
-		t.fleet.Withdraw(now, p)
+		t.fleet.Retract(now, p)
 		return
 	}
 	p.Launch = true
@@ -231,10 +231,10 @@
 	p := t.c.set.Params
 	w := &round.World{Now: now, WallMs: t.c.clock.Wall().UnixMilli(), No: no, Epoch: t.epoch, Fleet: t.fleet,
 		Types: t.c.types, Zones: p.Zones, Teams: t.teams, Coming: t.coming(now),
-		Blocked: func(o rental.Offer) bool { return t.desk.Blocked(now, o) },
+		Blocked: func(o rental.Offer) bool { return t.rentals.Blocked(now, o) },
 		Policy:  t.c.pol, Expect: t.expect, Spares: t.spares(), Typical: t.typical(),
 		MayVacate:  now.Sub(max(t.lastVacate, t.acquired)) >= t.c.pol.VacateEvery && !t.c.cut,
-		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.desk.Pending()) < 4,
+		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.rentals.Pending()) < 4,
 		ValueBytes: t.limits().ValueBytes(), Parts: t.parts(), RoundParts: t.roundParts(), Replace: t.replaceable(now), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
 	w.Active = func(team unit.Team) bool {
 		last, ok := t.lastWork[team]
@@ -275,7 +275,7 @@
 	return out
 }
 
-// maybeSeal raises the token when exits wait to be reaped, or when a withdrawn
+// maybeRaise raises the token when exits wait to be reaped, or when a retracted
 // launch has not been seen: under a higher token no late copy can start.
 func (t *term) maybeRaise(now unit.Instant) {
 	if t.flight != nil || t.fold != nil || t.c.lead.Raising() {
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -11,19 +11,19 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"badgerbay/internal/intake"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 	"badgerbay/internal/wire"
 )
 
 const (
 	// askTimeout bounds the time a poll waits for the leader, so that enough
 	// of the user's two seconds is left to read the record instead.
-	askTimeout      = 500 * time.Millisecond
-	withdrawTimeout = 2 * time.Second
-	pollBudget      = 1800 * time.Millisecond
-	submitBudget    = 4 * time.Second
-	reportBudget    = 3 * time.Second
+	askTimeout    = 500 * time.Millisecond
+	cancelTimeout = 2 * time.Second
+	pollBudget    = 1800 * time.Millisecond
+	submitBudget  = 4 * time.Second
+	reportBudget  = 3 * time.Second
 )
 
 // health tells what this node can reach.
@@ -51,8 +51,8 @@
 	}
 	r.GET("/up", n.up)
 	r.POST("/submissions", n.submit)
-	r.GET("/submissions/:id", n.ask(intake.Poll))
-	r.POST("/submissions/:id/withdraw", n.ask(intake.Withdraw))
+	r.GET("/submissions/:id", n.ask(userapi.Poll))
+	r.POST("/submissions/:id/withdraw", n.ask(userapi.Cancel))
 	r.POST(beatPath, n.beat)
 	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(n.met.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: 2}))
 	return r
@@ -80,16 +80,16 @@
 	return n.clock.Now().Sub(unit.Instant(n.health.lastState.Load())) < d
 }
 
-func (n *Node) answer(w http.ResponseWriter, id unit.JobID, a intake.Answer) {
+func (n *Node) answer(w http.ResponseWriter, id unit.JobID, a userapi.Answer) {
 	n.met.Submissions.WithLabelValues(strconv.Itoa(a.Code)).Inc()
 	if a.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(intake.RetrySeconds(a.RetryAfter)))
+		w.Header().Set("Retry-After", strconv.Itoa(userapi.RetrySeconds(a.RetryAfter)))
 	}
 	if a.Code != http.StatusOK && a.Code != http.StatusCreated {
 		w.WriteHeader(a.Code)
 		return
 	}
-	body, err := intake.EncodeStatus(id, a.Status)
+	body, err := userapi.EncodeStatus(id, a.Status)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/internal/controller/server_test.go
+++ b/internal/controller/server_test.go
@@ -17,12 +17,12 @@
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
+	"badgerbay/internal/fake"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/policy"
 	"badgerbay/internal/rental"
-	"badgerbay/internal/standin"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 )
@@ -37,7 +37,7 @@
 // actor runs on what the handlers send it, without ticks.
 type bench struct {
 	n     *Node
-	srv   *standin.StateServer
+	srv   *fake.StateServer
 	clock *handClock
 	http  http.Handler
 }
@@ -54,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bench{n: n, srv: &standin.StateServer{State: standin.NewState()}, clock: &handClock{now: unit.Instant(time.Hour)}}
+	b := &bench{n: n, srv: &fake.StateServer{State: fake.NewState()}, clock: &handClock{now: unit.Instant(time.Hour)}}
 	n.clock, n.core.clock = b.clock, b.clock
 	n.store = statestore.NewClient("10.2.0.1:1", b.srv)
 	n.core.types = []*fleet.Type{{Name: "m", Capacity: checkpoint.Resources{CPUs: 4, MemoryGB: 16}, Zones: []unit.Zone{"a"}}}
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -9,12 +9,12 @@
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
+	"badgerbay/internal/fake"
 	"badgerbay/internal/fleet"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/policy"
 	"badgerbay/internal/rental"
-	"badgerbay/internal/standin"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 // sim plays nodes against the stand-ins in simulated time: messages take time,
@@ -28,8 +28,8 @@
 	seq   int
 	set   *config.Settings
 	pol   *policy.Policy
-	state *standin.State
-	cloud *standin.Cloud
+	state *fake.State
+	cloud *fake.Cloud
 	nodes []*simNode
 	jobs  map[unit.JobID]*simJob
 	on    map[unit.TaskID]unit.MachineID
@@ -60,7 +60,7 @@
 	before     map[int]bool                    // nodes that don't say their version
 	troubled   bool                            // the troubles of the day go on
 	linkDelay  time.Duration                   // how much longer messages take, at most
-	atEnd      float64                         // the chance that a job is withdrawn as its last task ends
+	atEnd      float64                         // the chance that a job is cancelled as its last task ends
 	mute       map[unit.MachineID]unit.Instant // machines whose reports reach nobody, though commands reach them
 	exits      map[unit.JobID]exitCounts       // of gangs' tasks
 }
@@ -84,7 +84,7 @@
 	seenStart int           // of its tasks, when last looked at
 	starts    int
 	cancelled unit.Instant // when its user was told
-	told      intake.Standing
+	told      userapi.Standing
 	heard     unit.Instant // when its user was last answered
 	accepted  unit.Instant
 	began     unit.Instant // 0: no task has started
@@ -136,7 +136,7 @@
 		}
 	}
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: unit.Instant(time.Hour), set: simSettings(), pol: pol,
-		state: standin.NewState(), cloud: standin.NewCloud(types, capacity), jobs: map[unit.JobID]*simJob{},
+		state: fake.NewState(), cloud: fake.NewCloud(types, capacity), jobs: map[unit.JobID]*simJob{},
 		on: map[unit.TaskID]unit.MachineID{}, zones: map[unit.TaskID]unit.Zone{}, cut: map[int]bool{},
 		hung: map[unit.MachineID]unit.Instant{}, deaf: map[unit.MachineID]unit.Instant{}, alone: map[int]bool{}, frozen: map[int]unit.Instant{},
 		refused: map[int]bool{}, mute: map[unit.MachineID]unit.Instant{}, exits: map[unit.JobID]exitCounts{}, lateBy: 40 * time.Second}
--- a/internal/controller/sim_users_test.go
+++ b/internal/controller/sim_users_test.go
@@ -7,21 +7,21 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fake"
 	"badgerbay/internal/fleet"
-	"badgerbay/internal/intake"
-	"badgerbay/internal/standin"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 // seen checks the rules as a task comes to be on a machine.
-func (s *sim) seen(_ unit.Instant, w *standin.Worker, id unit.TaskID, on bool) {
+func (s *sim) seen(_ unit.Instant, w *fake.Worker, id unit.TaskID, on bool) {
 	if !on {
 		if s.on[id] == w.ID {
 			delete(s.on, id)
 		}
 		if s.atEnd > 0 && s.rng.Float64() < s.atEnd && !s.anyOn(id.Job) {
-			s.after(time.Duration(s.rng.IntN(1000))*time.Millisecond, func() { s.withdraw(id.Job) })
+			s.after(time.Duration(s.rng.IntN(1000))*time.Millisecond, func() { s.cancelJob(id.Job) })
 		}
 		return
 	}
@@ -66,7 +66,7 @@
 type exitCounts struct{ saved, peers, incomplete int }
 
 // exited counts how a gang's task has left its machine.
-func (s *sim) exited(id unit.TaskID, task *standin.Task) {
+func (s *sim) exited(id unit.TaskID, task *fake.Task) {
 	n := s.exits[id.Job]
 	switch {
 	case task.Stored:
@@ -191,19 +191,19 @@
 	return id
 }
 
-func (j *simJob) over() bool { return j.told == intake.Done || j.told == intake.Cancelled }
+func (j *simJob) over() bool { return j.told == userapi.Done || j.told == userapi.Cancelled }
 
 func (s *sim) poll(n *simNode, id unit.JobID, j *simJob) { s.ask(n, id, j, false) }
 
 // ask puts a user's question to a node, which answers as intake does: where no
 // leader can be asked, by the record if that decides.
-func (s *sim) ask(n *simNode, id unit.JobID, j *simJob, withdraw bool) {
+func (s *sim) ask(n *simNode, id unit.JobID, j *simJob, cancelJob bool) {
 	life := n.life
-	s.step(n, Asked{Job: id, Withdraw: withdraw, Ticket: func(a ReplyAsk) {
+	s.step(n, Asked{Job: id, Cancel: cancelJob, Ticket: func(a ReplyAsk) {
 		switch {
-		case a.Outcome == intake.Known && s.now.Before(a.Until):
+		case a.Outcome == userapi.Known && s.now.Before(a.Until):
 			s.hear(id, j, a.Status)
-		case a.Outcome == intake.NoLeader || a.Outcome == intake.Absent:
+		case a.Outcome == userapi.NoLeader || a.Outcome == userapi.Absent:
 			s.after(s.stateLatency(), func() {
 				item, err := s.state.Get(checkpoint.Key(id))
 				if !n.alive || n.life != life || s.stateless(n) || err != nil || item.Stamp == 0 {
@@ -213,8 +213,8 @@
 				if err != nil {
 					s.t.Fatalf("%s: %v", id, err)
 				}
-				if !withdraw || r.Phase.Final() {
-					s.hear(id, j, intake.StatusOfRecord(r))
+				if !cancelJob || r.Phase.Final() {
+					s.hear(id, j, userapi.StatusOfRecord(r))
 				}
 			})
 		}
@@ -222,22 +222,22 @@
 }
 
 // hear checks what a user is told against what was said before.
-func (s *sim) hear(id unit.JobID, j *simJob, st intake.Status) {
+func (s *sim) hear(id unit.JobID, j *simJob, st userapi.Status) {
 	if j.over() && st.Standing != j.told {
 		s.t.Fatalf("went_back: %s was %s and is %s", id, j.told, st.Standing)
 	}
-	if st.Standing == intake.Done && st.Done != j.spec.Tasks {
+	if st.Standing == userapi.Done && st.Done != j.spec.Tasks {
 		s.t.Fatalf("not_done: %s has %d of %d", id, st.Done, j.spec.Tasks)
 	}
 	j.heard = s.now
-	if st.Standing == intake.Cancelled && j.cancelled == 0 {
+	if st.Standing == userapi.Cancelled && j.cancelled == 0 {
 		j.cancelled = s.now
 	}
 	j.told = st.Standing
 }
 
-// withdraw asks until it is told.
-func (s *sim) withdraw(id unit.JobID) {
+// cancelJob asks until it is told.
+func (s *sim) cancelJob(id unit.JobID) {
 	j := s.jobs[id]
 	if j.over() {
 		return
@@ -247,7 +247,7 @@
 			s.ask(n, id, j, true)
 		}
 	}
-	s.after(2*time.Second, func() { s.withdraw(id) })
+	s.after(2*time.Second, func() { s.cancelJob(id) })
 }
 
 var (
@@ -283,7 +283,7 @@
 	s.known()
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		if s.jobs[id].spec.Service {
-			s.withdraw(id)
+			s.cancelJob(id)
 		}
 	}
 	s.run(200 * time.Second)
@@ -346,7 +346,7 @@
 		})
 		if i%7 == 3 {
 			s.after(time.Duration(i+10+s.rng.IntN(60))*time.Second, func() {
-				s.withdraw(unit.JobID(fmt.Sprintf("wk-%06d", 10*i+s.rng.IntN(2))))
+				s.cancelJob(unit.JobID(fmt.Sprintf("wk-%06d", 10*i+s.rng.IntN(2))))
 			})
 		}
 	}
--- a/internal/controller/sim_world_test.go
+++ b/internal/controller/sim_world_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fake"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/rental"
-	"badgerbay/internal/standin"
 	"badgerbay/internal/unit"
 )
 
@@ -137,14 +137,14 @@
 	}
 	s.state.Expire(s.now)
 	lease := s.set.Params.Workers.Lease()
-	for _, w := range s.cloud.Up(s.now, func(id unit.MachineID, h *standin.Host) *standin.Worker {
+	for _, w := range s.cloud.Up(s.now, func(id unit.MachineID, h *fake.Host) *fake.Worker {
 		var typ *fleet.Type
 		for _, ty := range s.cloud.Types {
 			if ty.Name == h.Offer.Type {
 				typ = ty
 			}
 		}
-		return standin.NewWorker(id, typ, h.Offer.Zone, h.Offer.Spot, lease, s.now)
+		return fake.NewWorker(id, typ, h.Offer.Zone, h.Offer.Spot, lease, s.now)
 	}) {
 		w.Fetch = time.Second
 		w.Seen = s.seen
@@ -173,13 +173,13 @@
 			h.Worker.Advance(s.now)
 		}
 	}
-	var up []*standin.Worker
+	var up []*fake.Worker
 	for _, id := range s.fleetOf() {
 		if h := s.cloud.Machines[id]; !h.Failed {
 			up = append(up, h.Worker)
 		}
 	}
-	standin.Gather(s.now, up, 20*time.Second, 8*time.Second, func(id unit.MachineID) bool { return s.now.Before(s.hung[id]) })
+	fake.Gather(s.now, up, 20*time.Second, 8*time.Second, func(id unit.MachineID) bool { return s.now.Before(s.hung[id]) })
 	for id, j := range s.jobs {
 		if j.cancelled == 0 || s.now.Sub(j.cancelled) < s.set.Params.Workers.Cancel() {
 			continue
@@ -194,7 +194,7 @@
 
 // reportLoop sends a worker's reports to a node, and goes on to another when
 // it is refused.
-func (s *sim) reportLoop(w *standin.Worker, node int) {
+func (s *sim) reportLoop(w *fake.Worker, node int) {
 	h := s.cloud.Machines[w.ID]
 	if h == nil || h.Worker != w || h.Failed {
 		return
--- a/internal/controller/stage_test.go
+++ b/internal/controller/stage_test.go
@@ -10,12 +10,12 @@
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/parts"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 // hugeJob stores a job with so many tasks under way that its record fits no one
@@ -39,7 +39,7 @@
 		s.t.Fatal(err)
 	}
 	s.state.ValueBytes, s.state.TxnOps = limit, ops
-	s.jobs[id] = &simJob{spec: spec, submitted: true, run: time.Minute, accepted: s.now, began: s.now, heard: s.now, told: intake.Queued}
+	s.jobs[id] = &simJob{spec: spec, submitted: true, run: time.Minute, accepted: s.now, began: s.now, heard: s.now, told: userapi.Queued}
 }
 
 // whole reads a job's record with its parts, as a successor would at this moment.
@@ -79,7 +79,7 @@
 				s.lateWrites = 0.2
 			}
 			s.crashAt = crashAt
-			s.withdraw(id)
+			s.cancelJob(id)
 			s.every(50*time.Millisecond, func() { s.whole(id) })
 			s.run(25 * time.Second)
 			s.lateWrites = 0
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -10,16 +10,16 @@
 	"github.com/julienschmidt/httprouter"
 
 	"badgerbay/internal/checkpoint"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 func (n *Node) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	data, err := readBody(w, r, intake.MaxBody)
+	data, err := readBody(w, r, userapi.MaxBody)
 	if err != nil {
 		w.Header().Set("Connection", "close")
-		n.answer(w, "", intake.Answer{Code: http.StatusBadRequest})
+		n.answer(w, "", userapi.Answer{Code: http.StatusBadRequest})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), submitBudget)
@@ -44,17 +44,17 @@
 // want of the state service or of its share of the writes, is handed to the
 // others too: a job is stored only if it does not exist, so whichever node
 // comes first stores it, and the rest find it there.
-func (n *Node) runSubmit(ctx context.Context, data []byte, forward bool) (unit.JobID, intake.Answer) {
-	sub, err := intake.DecodeSubmission(data)
+func (n *Node) runSubmit(ctx context.Context, data []byte, forward bool) (unit.JobID, userapi.Answer) {
+	sub, err := userapi.DecodeSubmission(data)
 	if err != nil {
 		n.log.Debug("submission refused", "err", err)
-		return "", intake.Answer{Code: http.StatusBadRequest}
+		return "", userapi.Answer{Code: http.StatusBadRequest}
 	}
-	req := intake.NewSubmit(sub, n.rules(), n.clock.Wall().UnixMilli())
+	req := userapi.NewSubmit(sub, n.rules(), n.clock.Wall().UnixMilli())
 	if !forward {
 		return sub.ID, n.drive(ctx, sub.ID, req)
 	}
-	own := make(chan intake.Answer, 1)
+	own := make(chan userapi.Answer, 1)
 	go func() { own <- n.drive(ctx, sub.ID, req) }()
 	wait := hedgeAfter
 	if !n.stateReachable(time.Second) {
@@ -73,10 +73,10 @@
 
 // hedge hands a submission to the others and answers with what comes first
 // that accepts it; a refusal counts only once nobody is left to ask.
-func (n *Node) hedge(ctx context.Context, data []byte, own <-chan intake.Answer) intake.Answer {
-	others := make(chan intake.Answer, 1)
+func (n *Node) hedge(ctx context.Context, data []byte, own <-chan userapi.Answer) userapi.Answer {
+	others := make(chan userapi.Answer, 1)
 	go func() { others <- n.handOver(ctx, data) }()
-	refusal := intake.Answer{Code: http.StatusServiceUnavailable, RetryAfter: time.Second}
+	refusal := userapi.Answer{Code: http.StatusServiceUnavailable, RetryAfter: time.Second}
 	var last <-chan time.Time
 	for range 2 {
 		select {
@@ -123,7 +123,7 @@
 }
 
 // handOver asks others that the mesh reaches to store a submission.
-func (n *Node) handOver(ctx context.Context, data []byte) intake.Answer {
+func (n *Node) handOver(ctx context.Context, data []byte) userapi.Answer {
 	asked := 0
 	for _, name := range n.takers() {
 		if asked == maxHandOver || !n.meshWorks(name) {
@@ -135,22 +135,22 @@
 			n.noteMesh(name, err)
 		}
 		if err == nil && (reply.Status == http.StatusOK || reply.Status == http.StatusCreated) {
-			return intake.Answer{Code: int(reply.Status), Status: intake.Status{Standing: intake.Standing(reply.Body)}}
+			return userapi.Answer{Code: int(reply.Status), Status: userapi.Status{Standing: userapi.Standing(reply.Body)}}
 		}
 	}
-	return intake.Answer{Code: http.StatusServiceUnavailable}
+	return userapi.Answer{Code: http.StatusServiceUnavailable}
 }
 
-func (n *Node) rules() *intake.Rules {
-	return &intake.Rules{Teams: n.teams, Zones: n.set.Params.Zones, Types: n.view.Load().types, State: n.set.Params.State.Tight()}
+func (n *Node) rules() *userapi.Rules {
+	return &userapi.Rules{Teams: n.teams, Zones: n.set.Params.Zones, Types: n.view.Load().types, State: n.set.Params.State.Tight()}
 }
 
 // create stores a job if it does not exist. Only refusals for want of changes
 // count for the pace: others may store what the state service refuses this node.
-func (n *Node) create(ctx context.Context, id unit.JobID, req *intake.Request, rec *checkpoint.Record) intake.CreateResult {
+func (n *Node) create(ctx context.Context, id unit.JobID, req *userapi.Request, rec *checkpoint.Record) userapi.CreateResult {
 	if now := n.clock.Now(); !n.budget.TakeWrites(now, statestore.UseSubmit, 1) {
 		req.SetRetry(n.budget.WriteWait(now, statestore.UseSubmit) + n.pace.Refused())
-		return intake.Refused
+		return userapi.Refused
 	}
 	n.pace.Took()
 	key := checkpoint.Key(id)
@@ -162,13 +162,13 @@
 	switch n.note(err); {
 	case err == nil:
 		go n.notify(id)
-		return intake.Stored
+		return userapi.Stored
 	case errors.As(err, &conflict):
-		return intake.Exists
+		return userapi.Exists
 	case errors.Is(err, statestore.ErrUncertain):
-		return intake.Uncertain
+		return userapi.Uncertain
 	}
-	return intake.Refused
+	return userapi.Refused
 }
 
 // notify tells the leader of a new job. If the notice is lost, the leader's
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -59,7 +59,7 @@
 		t.replay(now, r)
 	}
 	t.loaded, t.dirty = true, true
-	t.unpark(now)
+	t.answerParked(now)
 	t.c.log.Info("checkpoints read", "epoch", t.epoch, "jobs", len(t.jobs), "open_rounds", len(open))
 }
 
@@ -107,11 +107,11 @@
 		j.Touch(now)
 	}
 	for _, h := range r.Hires {
-		t.desk.Hire(now, h.Name, h.Offer, h.Count, true)
+		t.rentals.Hire(now, h.Name, h.Offer, h.Count, true)
 	}
 	for _, id := range r.Releases {
 		t.fleet.Ensure(now, id).Releasing = true
-		t.desk.Release(id)
+		t.rentals.Release(id)
 	}
 }
 
@@ -131,7 +131,7 @@
 			}
 			// The later was decided when the earlier was over: another attempt, or
 			// a replacement in a gang's. Rounds are replayed in their order.
-			t.fleet.Withdraw(now, old)
+			t.fleet.Retract(now, old)
 		}
 		p := &checkpoint.Placement{Job: j, Task: i, Machine: g.Machine, Session: g.Session,
 			Attempt: g.Attempt, Token: t.epoch - 1, Since: now}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -7,12 +7,12 @@
 	"badgerbay/internal/config"
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/fleet"
-	"badgerbay/internal/intake"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 )
 
 // term is what a node holds while it leads: the working copy of everything
@@ -31,7 +31,7 @@
 	reading   map[unit.JobID]bool
 	fleet     *fleet.Fleet
 	ring      *round.Ring
-	desk      *rental.Desk
+	rentals   *rental.Tracker
 	cloud     *statestore.Bucket
 	teams     map[unit.Team]config.Team
 
@@ -66,7 +66,7 @@
 func newTerm(c *Core, now unit.Instant, epoch unit.Epoch) *term {
 	t := &term{c: c, epoch: epoch, acquired: now, jobs: map[unit.JobID]*checkpoint.Job{},
 		specSize: map[unit.JobID]int{}, reading: map[unit.JobID]bool{},
-		desk: rental.NewDesk(c.pol.HireBackoff), ring: round.NewRing(c.pol.RingSlots),
+		rentals: rental.NewTracker(c.pol.HireBackoff), ring: round.NewRing(c.pol.RingSlots),
 		waiting: map[unit.JobID][]waiter{}, teams: c.set.Params.TeamsByName(),
 		lastWork: map[unit.Team]unit.Instant{}, expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{}, tooLarge: map[unit.JobID]unit.Instant{},
 		lastRaise: now, nextTypes: now.Add(5 * time.Second)}
@@ -110,7 +110,7 @@
 // abandon answers those who wait when leadership ends.
 func (t *term) abandon() {
 	for id := range t.waiting {
-		t.answerWaiters(id, intake.NoLeader, 0)
+		t.answerWaiters(id, userapi.NoLeader, 0)
 	}
 	t.refuseParked(func(parked) bool { return true })
 }
@@ -146,7 +146,7 @@
 	if !t.c.lead.Entitled(now) {
 		return
 	}
-	if t.cannotLead(now) {
+	if t.handOverIfMissed(now) {
 		return
 	}
 	t.reconciled(now)
@@ -172,7 +172,7 @@
 	}
 	for id, ws := range t.waiting {
 		if len(ws) > 0 && !now.Before(ws[0].until) {
-			t.answerWaiters(id, intake.Busy, 0)
+			t.answerWaiters(id, userapi.Busy, 0)
 		}
 	}
 	t.c.met.watch(t, now)
--- a/internal/delegation/keeper.go
+++ b/internal/delegation/keeper.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// slack is what is left of the time in which a withdrawn job's tasks must be
+	// slack is what is left of the time in which a cancelled job's tasks must be
 	// gone: for drift, for reports that are under way, and for the list of the
 	// machines that owe an exit, which is as old as the grant.
 	slack = 3 * time.Second
@@ -25,7 +25,7 @@
 
 // Life is how long a grant lasts from the request for it, or 0 if none is
 // given. A worker may be kept to the end of a grant and lives for a lease after
-// that; a job withdrawn just after the grant must be gone by then.
+// that; a job cancelled just after the grant must be gone by then.
 func Life(w config.Workers) time.Duration {
 	life := w.Cancel() - w.Lease() - slack
 	if life < leastLife {
@@ -51,7 +51,7 @@
 // Verdicts.
 const (
 	Pass   Verdict = iota // not cut off: the leader is to answer it
-	SendOn                // cut off, but the worker may reach others
+	Refuse                // cut off, but the worker may reach others
 	Probe                 // likewise: one outside node is tried, and the worker comes back
 	Keep                  // answer it by the grant
 )
@@ -136,7 +136,7 @@
 	}
 	may := now.Before(k.until) && r.Zone == k.zone && r.Token <= k.epoch && !k.owing[r.Machine]
 	if !may {
-		return SendOn
+		return Refuse
 	}
 	if k.mayProbe(now, cut, r.Machine) {
 		if len(k.sent) > known {
--- a/internal/delegation/keeper_test.go
+++ b/internal/delegation/keeper_test.go
@@ -19,7 +19,7 @@
 		Params: config.Params{Workers: config.Workers{ReportS: 5, LeaseS: 27, CancelS: 52}}}
 }
 
-// TestLife: what a withdrawn job runs under a grant that was given just before
+// TestLife: what a cancelled job runs under a grant that was given just before
 // is gone in time.
 func TestLife(t *testing.T) {
 	w := config.Workers{ReportS: 5, LeaseS: 27, CancelS: 52}
@@ -65,7 +65,7 @@
 	if q := k.Quiet(seconds(78)); q != 3900*time.Millisecond {
 		t.Errorf("the last worker was kept %v ago, want 3.9 s", q)
 	}
-	if k.Judge(seconds(80), Alone, mine) != SendOn {
+	if k.Judge(seconds(80), Alone, mine) != Refuse {
 		t.Error("a worker was kept after the grant had ended")
 	}
 }
--- a/internal/standin/state.go
+++ b/internal/fake/state.go
@@ -1,7 +1,7 @@
-// Package standin holds stand-ins for the systems that a node talks to: the
+// Package fake holds stand-ins for the systems that a node talks to: the
 // state service, the cloud and the workers. They follow the published protocol
 // and keep time as they are told, so that tests need no network and no sleep.
-package standin
+package fake
 
 import (
 	"fmt"
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// TestHaltBeforeTheLaunchLeaves: a withdrawn launch that never left is over at
+// TestHaltBeforeTheLaunchLeaves: a retracted launch that never left is over at
 // once; one that may have left is halted until it surely is.
 func TestHaltBeforeTheLaunchLeaves(t *testing.T) {
 	r := newRig(2)
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -23,7 +23,7 @@
 	}
 	p.Halting, p.Leave = true, leave
 	if p.State == checkpoint.Pending && p.Token == 0 {
-		f.Withdraw(now, p)
+		f.Retract(now, p)
 		return
 	}
 	f.Push(p.Machine)
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -16,8 +16,8 @@
 	p.Job.Start(p, m.Zone)
 }
 
-// Withdraw takes back a placement whose launch was never sent and never will.
-func (f *Fleet) Withdraw(now unit.Instant, p *checkpoint.Placement) {
+// Retract takes back a placement whose launch was never sent and never will.
+func (f *Fleet) Retract(now unit.Instant, p *checkpoint.Placement) {
 	f.end(now, p, true)
 	f.drop(p)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -91,7 +91,7 @@
 	return meshpb.NewMeshClient(conn), nil
 }
 
-// Ask polls or withdraws a job at the peer.
+// Ask polls or cancels a job at the peer.
 func (p *Peers) Ask(ctx context.Context, name string, req *meshpb.AskRequest, timeout time.Duration) (*meshpb.AskReply, error) {
 	c, err := p.client(name)
 	if err != nil {
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -38,7 +38,7 @@
 	Form rollout.Form `msgpack:"f,omitempty" json:"f,omitempty"`
 }
 
-// Ask is a withdrawal on its way to the leader.
+// Ask is a cancellation on its way to the leader.
 type Ask struct {
 	Job unit.JobID `msgpack:"j" json:"j"`
 }
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -19,7 +19,7 @@
 // TestUncertainHireIsRepeatedUnderItsName: the repeat is the receipt; only an
 // answer settles it.
 func TestUncertainHireIsRepeatedUnderItsName(t *testing.T) {
-	d := NewDesk(15 * time.Second)
+	d := NewTracker(15 * time.Second)
 	d.Hire(t0, "r-1", offer, 3, false)
 	if h := d.Due(t0); h == nil || h.Name != "r-1" {
 		t.Fatalf("due %+v", h)
@@ -47,7 +47,7 @@
 }
 
 func TestReleasesAreRepeatedUntilAnswered(t *testing.T) {
-	d := NewDesk(time.Second)
+	d := NewTracker(time.Second)
 	d.Release("host-2", "host-1")
 	ids := d.DueReleases(t0)
 	if len(ids) != 2 || ids[0] != "host-1" {
--- a/internal/rental/desk.go
+++ b/internal/rental/tracker.go
@@ -30,8 +30,8 @@
 	Impossible                // refused as malformed
 )
 
-// Desk keeps the rentals and releases that are under way. It is pure.
-type Desk struct {
+// Tracker keeps the rentals and releases that are under way. It is pure.
+type Tracker struct {
 	hires    map[string]*Hire
 	releases map[unit.MachineID]unit.Instant // next try
 	blocked  map[Offer]unit.Instant
@@ -44,23 +44,23 @@
 	retryRelease = time.Second
 )
 
-// NewDesk returns an empty desk; an offer that was refused is not asked for
+// NewTracker returns an empty tracker; an offer that was refused is not asked for
 // again for backoff.
-func NewDesk(backoff time.Duration) *Desk {
-	return &Desk{hires: map[string]*Hire{}, releases: map[unit.MachineID]unit.Instant{},
+func NewTracker(backoff time.Duration) *Tracker {
+	return &Tracker{hires: map[string]*Hire{}, releases: map[unit.MachineID]unit.Instant{},
 		blocked: map[Offer]unit.Instant{}, backoff: backoff}
 }
 
 // Hire takes in a rental that has been recorded. An old one, of an earlier
 // leader, may have been executed already.
-func (d *Desk) Hire(now unit.Instant, name string, o Offer, count int, old bool) {
+func (d *Tracker) Hire(now unit.Instant, name string, o Offer, count int, old bool) {
 	if d.hires[name] == nil {
 		d.hires[name] = &Hire{Name: name, Offer: o, Count: count, Since: now, uncertain: old}
 	}
 }
 
 // Release takes in machines whose release has been recorded.
-func (d *Desk) Release(ids ...unit.MachineID) {
+func (d *Tracker) Release(ids ...unit.MachineID) {
 	for _, id := range ids {
 		if _, ok := d.releases[id]; !ok {
 			d.releases[id] = 0
@@ -69,7 +69,7 @@
 }
 
 // Pending lists the rentals that are not settled.
-func (d *Desk) Pending() []*Hire {
+func (d *Tracker) Pending() []*Hire {
 	out := make([]*Hire, 0, len(d.hires))
 	for _, h := range d.hires {
 		out = append(out, h)
@@ -79,7 +79,7 @@
 }
 
 // UncertainHires counts rentals that may or may not have been executed.
-func (d *Desk) UncertainHires() int {
+func (d *Tracker) UncertainHires() int {
 	n := 0
 	for _, h := range d.hires {
 		if h.uncertain {
@@ -90,10 +90,10 @@
 }
 
 // Blocked tells whether the cloud was out of the offer a moment ago.
-func (d *Desk) Blocked(now unit.Instant, o Offer) bool { return now.Before(d.blocked[o]) }
+func (d *Tracker) Blocked(now unit.Instant, o Offer) bool { return now.Before(d.blocked[o]) }
 
 // Due returns a rental that should be sent now, marked as under way, or nil.
-func (d *Desk) Due(now unit.Instant) *Hire {
+func (d *Tracker) Due(now unit.Instant) *Hire {
 	for _, h := range d.Pending() {
 		if !h.busy && !now.Before(h.next) {
 			h.busy = true
@@ -104,7 +104,7 @@
 }
 
 // DueReleases returns machines whose release should be sent now.
-func (d *Desk) DueReleases(now unit.Instant) []unit.MachineID {
+func (d *Tracker) DueReleases(now unit.Instant) []unit.MachineID {
 	if d.busy {
 		return nil
 	}
@@ -124,7 +124,7 @@
 
 // Answered takes in the answer to a rental, and tells whether it is settled.
 // An uncertain one is repeated under its name: the repeat is the receipt.
-func (d *Desk) Answered(now unit.Instant, name string, v Verdict, got int) bool {
+func (d *Tracker) Answered(now unit.Instant, name string, v Verdict, got int) bool {
 	h := d.hires[name]
 	if h == nil {
 		return false
@@ -152,7 +152,7 @@
 }
 
 // Released takes in the answer to a release.
-func (d *Desk) Released(now unit.Instant, ids []unit.MachineID, ok bool) {
+func (d *Tracker) Released(now unit.Instant, ids []unit.MachineID, ok bool) {
 	d.busy = false
 	for _, id := range ids {
 		if ok {
--- a/internal/round/gang_test.go
+++ b/internal/round/gang_test.go
@@ -242,7 +242,7 @@
 		for i, m := range []unit.MachineID{"host-1", "host-2"} {
 			s.place(j, unit.TaskIndex(i), m).State = checkpoint.Fetching
 		}
-		s.w.Fleet.Withdraw(s.w.Now, s.place(j, 2, "host-3")) // and its exit is reaped
+		s.w.Fleet.Retract(s.w.Now, s.place(j, 2, "host-3")) // and its exit is reaped
 		if may {
 			s.w.Replace = map[unit.JobID]unit.Attempt{j.ID: 1}
 		}
--- a/internal/statestore/client_test.go
+++ b/internal/statestore/client_test.go
@@ -12,13 +12,13 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"badgerbay/internal/standin"
+	"badgerbay/internal/fake"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 )
 
-func setUp() (*statestore.Client, *standin.StateServer) {
-	srv := &standin.StateServer{State: standin.NewState(), Now: unit.Instant(time.Hour)}
+func setUp() (*statestore.Client, *fake.StateServer) {
+	srv := &fake.StateServer{State: fake.NewState(), Now: unit.Instant(time.Hour)}
 	return statestore.NewClient("10.2.0.1:2379", srv), srv
 }
 
--- a/internal/intake/messages.go
+++ b/internal/userapi/messages.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"time"
@@ -13,7 +13,7 @@
 const (
 	Submit Kind = iota
 	Poll
-	Withdraw
+	Cancel
 )
 
 // Input is what a request takes: one of the types below.
@@ -74,8 +74,8 @@
 	Create struct{ Record *checkpoint.Record }
 	// Load reads the job's record.
 	Load struct{}
-	// AskLeader polls or withdraws the job at the leader.
-	AskLeader struct{ Withdraw bool }
+	// AskLeader polls or cancels the job at the leader.
+	AskLeader struct{ Cancel bool }
 	// Answer ends the request.
 	Answer struct {
 		Code       int
--- a/internal/intake/request.go
+++ b/internal/userapi/request.go
@@ -1,7 +1,7 @@
-// Package intake serves the users: it takes submissions, answers polls and
-// withdraws jobs, on every node. Each request is a small state machine; the
+// Package userapi serves the users: it takes submissions, answers polls and
+// cancels jobs, on every node. Each request is a small state machine; the
 // server carries out what it asks for.
-package intake
+package userapi
 
 import (
 	"math"
@@ -40,7 +40,7 @@
 	return &Request{kind: Submit, sub: sub, rules: rules, now: wallMs, retry: time.Second}
 }
 
-// NewAsk returns the machine of a poll or a withdrawal.
+// NewAsk returns the machine of a poll or a cancellation.
 func NewAsk(kind Kind) *Request { return &Request{kind: kind, retry: time.Second} }
 
 // SetRetry sets when a user who is refused should come back.
@@ -68,7 +68,7 @@
 func (r *Request) begin() Action {
 	if r.kind != Submit {
 		r.stage = asking
-		return AskLeader{Withdraw: r.kind == Withdraw}
+		return AskLeader{Cancel: r.kind == Cancel}
 	}
 	switch code := r.rules.Check(&r.sub.Spec); code {
 	case 0:
@@ -101,8 +101,8 @@
 		return r.unavailable()
 	}
 	if in.Record != nil {
-		if r.kind == Withdraw && !in.Record.Phase.Final() {
-			return r.unavailable() // only the leader withdraws
+		if r.kind == Cancel && !in.Record.Phase.Final() {
+			return r.unavailable() // only the leader cancels
 		}
 		return Answer{Code: http.StatusOK, Status: StatusOfRecord(in.Record)}
 	}
--- a/internal/intake/pace.go
+++ b/internal/userapi/retry.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"math/rand/v2"
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// Pace tells users who are refused for want of changes when to come back. In a
+// RetryPacer tells users who are refused for want of changes when to come back. In a
 // flood they are spread out: those who come back together are refused together.
 // It is safe for concurrent use.
-type Pace struct {
+type RetryPacer struct {
 	mu    sync.Mutex
 	rng   *rand.Rand
 	share float64 // of the last submissions, about, that were refused
@@ -25,15 +25,15 @@
 	flooded = 0.5
 )
 
-// NewPace returns the pace of a node that has refused nobody.
-func NewPace(rng *rand.Rand) *Pace { return &Pace{rng: rng} }
+// NewRetryPacer returns the pace of a node that has refused nobody.
+func NewRetryPacer(rng *rand.Rand) *RetryPacer { return &RetryPacer{rng: rng} }
 
 // Took notes that a submission was stored.
-func (p *Pace) Took() { p.note(0) }
+func (p *RetryPacer) Took() { p.note(0) }
 
 // Refused notes that one was not, and tells how much later than the next change
 // its user should come back.
-func (p *Pace) Refused() time.Duration {
+func (p *RetryPacer) Refused() time.Duration {
 	share := p.note(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -41,13 +41,13 @@
 }
 
 // Flooded tells whether most submissions are being refused.
-func (p *Pace) Flooded() bool {
+func (p *RetryPacer) Flooded() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.share > flooded
 }
 
-func (p *Pace) note(refused float64) float64 {
+func (p *RetryPacer) note(refused float64) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.share += paceMemory * (refused - p.share)
--- a/internal/intake/intake_test.go
+++ b/internal/userapi/userapi_test.go
@@ -1,4 +1,4 @@
-package intake
+package userapi
 
 import (
 	"math/rand/v2"
@@ -194,10 +194,10 @@
 		"leader behind":                      {Poll, []Input{Begin{}, Told{Outcome: Absent}, Loaded{OK: true, Record: active}}, 200, Queued},
 		"no leader, record":                  {Poll, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{OK: true, Record: &cancelled}}, 200, Cancelled},
 		"nobody answers":                     {Poll, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{}}, 503, ""},
-		"leader busy":                        {Withdraw, []Input{Begin{}, Told{Outcome: Busy}}, 503, ""},
-		"withdrawn":                          {Withdraw, []Input{Begin{}, Told{Known, Status{Standing: Cancelled}}}, 200, Cancelled},
-		"only the leader withdraws":          {Withdraw, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{OK: true, Record: active}}, 503, ""},
-		"withdrawn before":                   {Withdraw, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{OK: true, Record: &cancelled}}, 200, Cancelled},
+		"leader busy":                        {Cancel, []Input{Begin{}, Told{Outcome: Busy}}, 503, ""},
+		"cancelled":                          {Cancel, []Input{Begin{}, Told{Known, Status{Standing: Cancelled}}}, 200, Cancelled},
+		"only the leader cancels":            {Cancel, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{OK: true, Record: active}}, 503, ""},
+		"cancelled before":                   {Cancel, []Input{Begin{}, Told{Outcome: NoLeader}, Loaded{OK: true, Record: &cancelled}}, 200, Cancelled},
 	} {
 		a := answer(t, NewAsk(c.kind), c.inputs...)
 		if a.Code != c.code || a.Status.Standing != c.st {
@@ -235,7 +235,7 @@
 // times, well within the minute for which they try; one who is refused alone
 // comes back soon.
 func TestFloodIsSpreadOut(t *testing.T) {
-	p := NewPace(rand.New(rand.NewPCG(1, 2)))
+	p := NewRetryPacer(rand.New(rand.NewPCG(1, 2)))
 	if d := p.Refused(); d > time.Second || p.Flooded() {
 		t.Errorf("refused alone, one is told to wait %v more", d)
 	}
