--- a/internal/controller/rollout_test.go
+++ b/internal/controller/rollout_test.go
@@ -102,6 +102,25 @@
 				s.crash(s.nodes[2], 200*time.Millisecond)
 			})
 		},
+		"leaders end around the agreement": func(s *sim) {
+			for i := range 10 {
+				s.after(32*sec+time.Duration(i)*700*time.Millisecond, func() { s.crashAt = 1 + i%4 })
+			}
+		},
+		"a node of the version before returns late": func(s *sim) {
+			s.after(70*sec, func() {
+				s.before[2] = true
+				s.crash(s.nodes[2], 200*time.Millisecond)
+			})
+			s.after(80*sec, func() { s.crashLeader(sec) })
+			s.after(110*sec, func() {
+				if form, _ := s.state.Get(rollout.Key); form.Stamp == 0 {
+					s.t.Error("the agreement was taken back")
+				}
+				delete(s.before, 2)
+				s.crash(s.nodes[2], 200*time.Millisecond)
+			})
+		},
 		"a node cut off as the limits come": func(s *sim) {
 			s.after(33*sec, func() { s.alone[1] = true })
 			s.after(90*sec, func() { delete(s.alone, 1) })
@@ -110,16 +129,23 @@
 		t.Run(what, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(2) {
-				early := false
+				early, agreed, upgraded := false, false, 0
 				s := rollOut(t, seed, func(s *sim) {
 					trouble(s)
 					s.every(sec, func() {
 						rest, _, _ := s.state.List(parts.Prefix)
 						form, _ := s.state.Get(rollout.Key)
-						early = early || len(s.before) > 0 && (len(rest) > 0 || form.Stamp != 0)
-						if len(s.before) > 0 {
+						if form.Stamp != 0 {
+							agreed = true
+						}
+						if !agreed && len(s.before) > 0 {
+							early = early || len(rest) > 0
 							s.storedAsBefore()
 						}
+						if form.Stamp != 0 && upgraded < len(s.nodes) {
+							early = true
+						}
+						upgraded = max(upgraded, len(s.nodes)-len(s.before))
 					})
 				})
 				if early {
