Bound gangs so that they start beside other work; transactions by their size in all

The largest gang that is taken leaves a value of the round's transaction to other starts, so that higher work in each round can't keep it out for ever. Records in parts keep below what a transaction may hold in all (64 KiB): at 16 KiB a value that is three values, not sixteen.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -152,6 +152,18 @@
 // ValueBytes is the largest value the state service takes.
 func (s State) ValueBytes() int { return int(s.ValueKB * 1024) }
 
+// txnBytes is how much a transaction of the state service may hold in all, and
+// txnOverhead what of that is left to its guards and keys.
+const (
+	txnBytes    = 64 << 10
+	txnOverhead = 4 << 10
+)
+
+// TxnValues is how many values of the largest size one transaction holds.
+func (s State) TxnValues() int {
+	return max(1, min(s.TxnOps, (txnBytes-txnOverhead)/max(1, s.ValueBytes())))
+}
+
 // FieldError names the setting that is wrong.
 type FieldError struct {
 	Field  string
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -93,3 +93,17 @@
 		t.Errorf("%+v, want the smaller of each", got)
 	}
 }
+
+// TestTxnValues: values of the largest size that go into one transaction stay below
+// what it may hold in all.
+func TestTxnValues(t *testing.T) {
+	for _, c := range []struct {
+		kb   float64
+		ops  int
+		want int
+	}{{2, 4, 4}, {8, 8, 7}, {16, 16, 3}, {64, 8, 1}} {
+		if n := (State{ValueKB: c.kb, TxnOps: c.ops}).TxnValues(); n != c.want {
+			t.Errorf("%v KiB, %d changes: %d values, want %d", c.kb, c.ops, n, c.want)
+		}
+	}
+}
--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -24,7 +24,7 @@
 	if t.cluster.Form() < rollout.Parts {
 		return 1
 	}
-	return t.limits().TxnOps
+	return t.limits().TxnValues()
 }
 
 // roundParts is how many values a round's record may take.
@@ -32,7 +32,7 @@
 	if t.cluster.Form() < rollout.Staged {
 		return 1
 	}
-	return t.limits().TxnOps
+	return t.limits().TxnValues()
 }
 
 // maybeAgree stores the latest form that all nodes know, once they have said so.
--- a/internal/controller/stage.go
+++ b/internal/controller/stage.go
@@ -14,6 +14,10 @@
 // overwrite parts of a later record.
 const stageKey = parts.Prefix + "stage"
 
+// mostStaged bounds the parts of such a record, so that a transaction holds one
+// beside the key whatever a value may hold.
+const mostStaged = 16 << 10
+
 // staged is the value of stageKey.
 type staged struct {
 	Job  unit.JobID `msgpack:"j" json:"j"`
@@ -39,7 +43,7 @@
 	if t.stage.job != nil || t.cluster.Form() < rollout.Staged {
 		return false
 	}
-	head, rest, err := rec.Stage(t.limits().ValueBytes(), j.StoredFirst)
+	head, rest, err := rec.Stage(min(t.limits().ValueBytes(), mostStaged), j.StoredFirst)
 	if err != nil {
 		t.c.log.Error("checkpoint can't be written in parts", "job", j.ID, "err", err, "epoch", t.epoch)
 		return false
@@ -61,7 +65,7 @@
 		t.writeHead(now)
 		return
 	}
-	n := min(len(s.rest)-s.written, t.limits().TxnOps-1, t.c.budget.WritesFor(now, statestore.UseUrgentFold)-1)
+	n := min(len(s.rest)-s.written, max(1, t.limits().TxnValues()-1), t.c.budget.WritesFor(now, statestore.UseUrgentFold)-1)
 	if n <= 0 {
 		return
 	}
--- a/internal/round/bound.go
+++ b/internal/round/bound.go
@@ -5,6 +5,7 @@
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
+	"badgerbay/internal/parts"
 	"badgerbay/internal/unit"
 )
 
@@ -20,12 +21,17 @@
 	}
 	machines := (s.Tasks + perMachine - 1) / perMachine
 	j := &checkpoint.Job{Spec: *s}
-	room := j.Room(limits.ValueBytes(), limits.TxnOps, specSize)
-	if checkpoint.Room(machines)*j.Cost(nameForBound, 0)+j.Cost("", s.Tasks) > room {
+	checkpointRoom := j.Room(limits.ValueBytes(), limits.TxnValues(), specSize)
+	if checkpoint.Room(machines)*j.Cost(nameForBound, 0)+j.Cost("", s.Tasks) > checkpointRoom {
 		return false
 	}
 	widest := unit.Ranges{{First: unit.TaskIndex(s.Tasks), Last: unit.TaskIndex(s.Tasks)}}
 	start := Start{Machine: nameForBound, Session: math.MaxInt32, Tasks: widest}
-	head := (&Record{}).headSize() + 2*hireSize
-	return head+machines*start.nextSize() <= gangBytes(limits.ValueBytes(), limits.TxnOps)
+	// One value is left to what else the round starts: with it a gang might wait
+	// for ever, if higher work came in each round.
+	room := max(limits.ValueBytes()-roundHead, parts.Capacity(limits.ValueBytes(), limits.TxnValues()-1))
+	return machines*start.nextSize() <= room
 }
+
+// roundHead bounds what a round's record holds beside its starts.
+const roundHead = recordSize + 2*hireSize
--- a/internal/round/gang.go
+++ b/internal/round/gang.go
@@ -10,6 +10,7 @@
 	"badgerbay/internal/parts"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
 )
 
 // gangPart is what of a gang goes to one machine.
@@ -63,22 +64,27 @@
 }
 
 // startGang records the starts of a gang in an attempt; 0: that of the round. If
-// the round has no room left for them, but a new one would, that one takes them.
+// the round has no room left for them, a new one takes them: in one value where
+// they fit into one, else in as many as a transaction holds.
 func (p *planner) startGang(j *checkpoint.Job, found []gangPart, attempt unit.Attempt) {
-	size := 0
+	size := wire.PackedLen(len(j.ID)) + 2*hireSize
+	var starts []Start
 	for _, part := range found {
 		st := startOf(j, part.b, part.tasks)
-		size += st.SizeOf()
+		st.Attempt = attempt
+		starts = append(starts, st)
+		size += st.nextSize()
+	}
+	limit := p.w.ValueBytes
+	if p.plan.Record.headSize()+size > limit {
+		limit = gangBytes(p.w.ValueBytes, p.w.RoundParts)
 	}
-	fitsAlone := p.plan.Record.headSize()+size+2*hireSize <= p.w.ValueBytes
-	if fitsAlone && p.size+size+2*hireSize > p.w.ValueBytes {
+	if p.size+size > limit && len(p.plan.Record.Starts) > 0 {
 		p.full = true
 		return
 	}
-	for _, part := range found {
-		st := startOf(j, part.b, part.tasks)
-		st.Attempt = attempt
-		p.record(j, part.b, st, len(part.tasks))
+	for i, part := range found {
+		p.record(j, part.b, starts[i], len(part.tasks))
 	}
 }
 
--- a/internal/round/gang_test.go
+++ b/internal/round/gang_test.go
@@ -320,3 +320,38 @@
 		t.Error(err)
 	}
 }
+
+// TestLargeGangBesideOthers: the largest gang starts in the same round as higher
+// work, however much of that there is: it must not wait for a round of its own.
+func TestLargeGangBesideOthers(t *testing.T) {
+	limits := config.State{ValueKB: 2, TxnOps: 4}
+	spec := gangSpec(1, 3)
+	for spec.Tasks = 1; GangFits(&spec, 1, 300, limits); spec.Tasks++ {
+	}
+	spec.Tasks--
+	for _, others := range []int{5, 20} {
+		s := newScene(t)
+		s.w.Teams = map[unit.Team]config.Team{"red": {CPUsMax: 4000}, "blue": {CPUsMax: 4000}}
+		s.w.ValueBytes, s.w.RoundParts, s.w.Parts = 2048, 4, 4
+		for i := range spec.Tasks + others {
+			s.machine(unit.MachineID(fmt.Sprintf("machine-%08d", i*7919%1_000_000)), "a", false)
+		}
+		gang := s.job("wk-000001", spec)
+		first := task("blue", checkpoint.Prod, others, 3)
+		first.Service = true
+		s.job("wk-000002", first)
+		plan := s.plan()
+		starts := 0
+		for _, st := range plan.Record.Starts {
+			if st.Job == gang.ID {
+				starts++
+			}
+		}
+		if starts != spec.Tasks {
+			t.Errorf("beside %d others %d of %d tasks start", others, starts, spec.Tasks)
+		}
+		if _, _, err := plan.Record.Split(2048, 4, statestore.JSONSize); err != nil {
+			t.Error(err)
+		}
+	}
+}
