--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -9,6 +9,7 @@
 	"badgerbay/internal/config"
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/fleet"
+	"badgerbay/internal/handover"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/policy"
 	"badgerbay/internal/statestore"
@@ -31,7 +32,7 @@
 	from   delegation.Isolation // what this node is cut off from
 	// outside is the node in another zone that workers try before they are kept.
 	outside   string
-	handovers handovers
+	handovers handover.History
 
 	cut         bool         // some node is out of reach over the mesh
 	stepped     unit.Instant // the last step
--- a/internal/controller/fold.go
+++ b/internal/controller/fold.go
@@ -60,30 +60,17 @@
 	txn := statestore.Txn{Guards: []statestore.Guard{t.leaderGuard()}}
 	size := 0
 	for _, j := range batch[:n] {
-		whole := j.Record(t.epoch)
-		rec, rest, err := whole.Split(limits.ValueBytes(), t.parts(), statestore.JSONSize)
-		if err != nil {
-			t.c.met.TooLarge.Inc()
-			if t.beginStage(j, whole) {
-				continue
-			}
-			// It is tried again a little later, and does not keep others from their
-			// turn.
-			t.tooLarge[j.ID] = now.Add(tooLargeRest)
-			t.c.log.Warn("checkpoint is too large for one transaction", "job", j.ID, "err", err, "epoch", t.epoch)
+		writes, folded, ok := t.foldWrites(now, j)
+		if !ok {
 			continue
 		}
-		size += statestore.JSONSize(rec)
-		if len(f.jobs) > 0 && (size > maxTxn || len(txn.Writes)+1+len(rest) > min(may, limits.TxnOps)) {
+		size += statestore.JSONSize(writes[0].Value)
+		if len(f.jobs) > 0 && (size > maxTxn || len(txn.Writes)+len(writes) > min(may, limits.TxnOps)) {
 			break
 		}
-		key := checkpoint.Key(j.ID)
-		txn.Guards = append(txn.Guards, statestore.Guard{Key: key, Stamp: j.Version})
-		txn.Writes = append(txn.Writes, statestore.Write{Set: key, Value: rec})
-		for i, part := range rest {
-			txn.Writes = append(txn.Writes, statestore.Write{Set: checkpoint.PartKey(j.ID, i+1), Value: part})
-		}
-		f.jobs = append(f.jobs, foldedJob{j, j.Seq, rec.Round, rec.Phase})
+		txn.Guards = append(txn.Guards, statestore.Guard{Key: writes[0].Set, Stamp: j.Version})
+		txn.Writes = append(txn.Writes, writes...)
+		f.jobs = append(f.jobs, folded)
 		j.Writing = true
 	}
 	if len(f.jobs) == 0 {
@@ -94,6 +81,27 @@
 	t.c.emit(Commit{Kind: CommitFold, Epoch: t.epoch, Txn: txn})
 }
 
+// foldWrites are the changes that store a job's checkpoint: its record, and the
+// parts of it. One that is too large for a transaction is written in several, or
+// tried again a little later; it keeps no others from their turn.
+func (t *term) foldWrites(now unit.Instant, j *checkpoint.Job) ([]statestore.Write, foldedJob, bool) {
+	whole := j.Record(t.epoch)
+	rec, rest, err := whole.Split(t.limits().ValueBytes(), t.parts(), statestore.JSONSize)
+	if err != nil {
+		t.c.met.TooLarge.Inc()
+		if !t.beginStage(j, whole) {
+			t.tooLarge[j.ID] = now.Add(tooLargeRest)
+			t.c.log.Warn("checkpoint is too large for one transaction", "job", j.ID, "err", err, "epoch", t.epoch)
+		}
+		return nil, foldedJob{}, false
+	}
+	writes := []statestore.Write{{Set: checkpoint.Key(j.ID), Value: rec}}
+	for i, part := range rest {
+		writes = append(writes, statestore.Write{Set: checkpoint.PartKey(j.ID, i+1), Value: part})
+	}
+	return writes, foldedJob{j, j.Seq, rec.Round, rec.Phase}, true
+}
+
 // foldable lists the jobs whose record may be written now: those that a user
 // or the ring waits for, and those that have lagged long enough.
 func (t *term) foldable(now unit.Instant) (urgent, late []*checkpoint.Job) {
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/fleet"
+	"badgerbay/internal/handover"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/round"
@@ -125,60 +126,6 @@
 	}
 }
 
-// TestPoorlyPlacedLeaderGivesUp: a leader that nearly all workers don't reach,
-// of which some come through another node, leaves leadership to that node; but
-// not at once, and not if nobody is known to be better placed. Guards against a
-// day on which a leader in the smaller of two zones held on for half a minute,
-// because most of the others were not even relayed.
-func TestPoorlyPlacedLeaderGivesUp(t *testing.T) {
-	var alone, r reach
-	begun := unit.Instant(time.Hour)
-	for now := begun; now.Sub(begun) < 20*time.Second; now = now.Add(time.Second) {
-		hear(&r, now, "near", 10, "")
-		hear(&alone, now, "near", 10, "")
-		if heir := alone.heir(now, 100, reachPatience); heir != "" {
-			t.Fatalf("leaves it to %q, which nobody comes through", heir)
-		}
-		hear(&r, now, "far", 16, "n2")
-		if heir := r.heir(now, 100, reachPatience); (heir == "n2") != (now.Sub(begun) >= reachPatience) {
-			t.Fatalf("heir %q after %v", heir, now.Sub(begun))
-		}
-	}
-	fewer := reach{}
-	for now := begun; now.Sub(begun) < 20*time.Second; now = now.Add(time.Second) {
-		hear(&fewer, now, "near", 10, "")
-		hear(&fewer, now, "far", 10, "n2")
-		if heir := fewer.heir(now, 100, reachPatience); heir != "" {
-			t.Fatalf("leaves it to %q, which brings no more than come here", heir)
-		}
-	}
-	now := begun.Add(20 * time.Second)
-	hear(&r, now, "near", 50, "")
-	if r.heir(now, 100, reachPatience) != "" {
-		t.Error("gives up although many workers reach it")
-	}
-}
-
-// TestHandoversBackOff: a node that has handed leadership over is more patient when
-// it leads again soon, and forgets that after a while.
-func TestHandoversBackOff(t *testing.T) {
-	var h handovers
-	now := unit.Instant(time.Hour)
-	for want := reachPatience; want <= reachPatience<<mostHandovers; want *= 2 {
-		if got := h.patience(now); got != want {
-			t.Errorf("waits for %v, want %v", got, want)
-		}
-		h.note(now)
-		now = now.Add(30 * time.Second)
-	}
-	if got := h.patience(now); got != reachPatience<<mostHandovers {
-		t.Errorf("waits for %v", got)
-	}
-	if got := h.patience(now.Add(handoverMemory)); got != reachPatience {
-		t.Errorf("waits for %v after a quiet while", got)
-	}
-}
-
 // TestNewLeaderLetsWorkersCome: a leader does not count the workers that miss it
 // before they have had a report interval to come. In a partition of two zones it
 // took those of its own side for missing, and handed back at once.
@@ -189,7 +136,7 @@
 	tm.acquired, g.core.woke = g.now, 0
 	hear := func() {
 		for _, m := range tm.fleet.Machines() {
-			tm.reach.note(g.now, m.ID, "n1")
+			tm.reach.Note(g.now, m.ID, "n1")
 		}
 	}
 	for g.now.Sub(tm.acquired) < interval+interval/4 {
@@ -204,15 +151,8 @@
 		hear()
 		g.now = g.now.Add(200 * time.Millisecond)
 	}
-	if d := g.now.Sub(begun); d < reachPatience-time.Second || d > reachPatience+time.Second {
-		t.Errorf("handed over %v after that, want about %v", d, reachPatience)
-	}
-}
-
-// hear notes a report of each of n workers, through the node via if one is named.
-func hear(r *reach, now unit.Instant, name string, n int, via string) {
-	for i := range n {
-		r.note(now, unit.MachineID(fmt.Sprintf("%s-%d", name, i)), via)
+	if d := g.now.Sub(begun); d < handover.Patience-time.Second || d > handover.Patience+time.Second {
+		t.Errorf("handed over %v after that, want about %v", d, handover.Patience)
 	}
 }
 
--- a/internal/controller/release.go
+++ b/internal/controller/release.go
@@ -118,7 +118,7 @@
 	few := all.quiet <= max(1, all.machines/10)
 	silent := map[unit.MachineID]bool{}
 	// All reports are looked over only where it matters.
-	found := !few && (t.reach.relayed() || now.Sub(t.found) < foundFor)
+	found := !few && (t.reach.Relayed() || now.Sub(t.found) < foundFor)
 	for _, z := range zones {
 		settled := !found && all.quiet == len(all.silent) && z.quiet <= z.machines/2
 		if all.machines < 3 || !few && !settled {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -55,7 +55,7 @@
 // reported takes in a report and answers it.
 func (t *term) reported(now unit.Instant, in Reported) {
 	reply := ReplyReport{Ticket: in.Ticket, Code: http.StatusOK, Epoch: t.epoch, Until: t.c.lead.EntitledUntil()}
-	t.reach.note(now, in.Report.Machine, in.Via)
+	t.reach.Note(now, in.Report.Machine, in.Via)
 	switch {
 	case in.Report.Token > t.epoch:
 		// Somebody else was elected, or a raise of ours came through late.
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -7,6 +7,7 @@
 	"badgerbay/internal/config"
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/fleet"
+	"badgerbay/internal/handover"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
@@ -54,7 +55,7 @@
 	parked     []parked
 	tooLarge   map[unit.JobID]unit.Instant // checkpoints not to be tried before
 	stage      stage
-	reach      reach
+	reach      handover.Reach
 	found      unit.Instant // when a machine that was silent for too long was last heard again
 	ledger     *delegation.Ledger
 	expect     map[unit.Class]round.Expect
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,129 @@
+// Package handover decides whether a leader had better leave leadership to another
+// node, because the workers reach that one and not this.
+package handover
+
+import (
+	"time"
+
+	"badgerbay/internal/unit"
+)
+
+const (
+	// window is how recent a report must be to count.
+	window = 8 * time.Second
+	// Patience is how long most workers must have been out of reach
+	// before a leader gives leadership up, and Rest how long it stays out
+	// of the election after that.
+	Patience = 6 * time.Second
+	Rest     = 15 * time.Second
+	// Memory is how long a handover counts: a node that leads again within
+	// that time is twice as patient as before, up to mostBackoffs times.
+	Memory       = 2 * time.Minute
+	mostBackoffs = 4
+	// missedRatio times as many workers that don't come themselves as do show
+	// that a leader is badly placed; leastRelayed workers, and one of relayedPart,
+	// that come through others show that one of those is placed better.
+	missedRatio  = 2
+	leastRelayed = 3
+	relayedPart  = 20
+)
+
+// Reach tells whether the workers reach this node themselves, or only through
+// others. The zero value is ready for use.
+type Reach struct {
+	last  map[unit.MachineID]contact
+	since unit.Instant // most have been out of reach since; 0: they are not
+}
+
+// contact is the last report of a worker; via is the node that it came through.
+type contact struct {
+	at  unit.Instant
+	via string
+}
+
+// Note takes in a report of a worker that came through the node via, or directly.
+func (r *Reach) Note(now unit.Instant, id unit.MachineID, via string) {
+	if r.last == nil {
+		r.last = map[unit.MachineID]contact{}
+	}
+	r.last[id] = contact{now, via}
+}
+
+// Restart begins the count of missing workers anew.
+func (r *Reach) Restart() { r.since = 0 }
+
+// Relayed tells whether any worker's last report came through another node.
+func (r *Reach) Relayed() bool {
+	for _, c := range r.last {
+		if c.via != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// Heir is the node that had better lead, or "": for some time nearly all known
+// workers have not come here themselves, and some come through that node. Many
+// that are not heard of at all count too: through the state service a node
+// relays but a part of hundreds, and a leader that waited until most were
+// relayed held on for half a minute while leases ran out.
+func (r *Reach) Heir(now unit.Instant, known int, patience time.Duration) string {
+	direct, relayed := 0, 0
+	through := map[string]int{}
+	for id, c := range r.last {
+		switch {
+		case now.Sub(c.at) > window:
+			delete(r.last, id)
+		case c.via != "":
+			relayed++
+			through[c.via]++
+		default:
+			direct++
+		}
+	}
+	missing := max(known, direct+relayed) - direct
+	if missing < leastRelayed || missing < missedRatio*direct {
+		r.since = 0
+		return ""
+	}
+	if r.since == 0 {
+		r.since = now
+	}
+	if now.Sub(r.since) < patience || relayed < max(leastRelayed, known/relayedPart) {
+		return ""
+	}
+	best := ""
+	for node, n := range through {
+		if best == "" || n > through[best] || n == through[best] && node < best {
+			best = node
+		}
+	}
+	// Right after a takeover most may still be on their way here: whoever is
+	// to lead must bring more than come by themselves. A leader that did not
+	// wait for that passed leadership to the wrong side of a cut.
+	if through[best] <= direct {
+		return ""
+	}
+	return best
+}
+
+// History remembers how often this node has handed leadership over of late.
+// Where two zones can't reach each other each side misses the other's workers, and
+// leadership went to and fro six times in half a minute.
+type History struct {
+	count int
+	last  unit.Instant
+}
+
+// Patience is how long workers must be missing before the next handover.
+func (h *History) Patience(now unit.Instant) time.Duration {
+	if now.Sub(h.last) > Memory {
+		h.count = 0
+	}
+	return Patience << h.count
+}
+
+// Note takes in that this node hands leadership over.
+func (h *History) Note(now unit.Instant) {
+	h.count, h.last = min(h.count+1, mostBackoffs), now
+}
