A round whose record can't be read is waited out, counted, and its number passed over

It was logged and forgotten: placing went on though tasks of it might run on silent machines, its slot could never be written again under the right version, and its number could come a second time. Now nothing is placed until whatever it started is surely over. By design no round is torn; found by reading.

--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -26,6 +26,7 @@
 	Stood         prometheus.Counter
 	BadBatches    prometheus.Counter
 	TooLarge      prometheus.Counter
+	Unreadable    prometheus.Counter
 	NodesBehind   prometheus.Gauge
 	Submissions   *prometheus.CounterVec
 	Reports       *prometheus.CounterVec
@@ -67,6 +68,7 @@
 	m.Throttled = counter("throttled_total", "Requests that the state service or the cloud throttled.")
 	m.Uncertain = counter("uncertain_operations_total", "Requests whose outcome had to be read back.")
 	m.BadBatches = counter("bad_batches_total", "Batches of other nodes, and answers to ours, that could not be read.")
+	m.Unreadable = counter("unreadable_records_total", "Records that a leader could not read.")
 	m.TooLarge = counter("too_large_total", "Records and transactions that were too large for the state service.")
 	m.NodesBehind = gauge("nodes_behind", "Nodes that have not said lately that they have this version; at a leader.")
 	m.Stood = counter("stood_still_total", "Times this node took no step for half a second or more.")
--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -6,9 +6,13 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/delegation"
 	"badgerbay/internal/fleet"
+	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // TestLateMachinesAreNotWaitedFor guards against an incident: machines that
@@ -73,6 +77,41 @@
 	t.Error("a record of a later schema was passed over")
 }
 
+// TestTornRoundIsWaitedOut: where a round's record can't be read, nothing is placed
+// until all that it may have started is surely over, and its number never comes
+// again.
+func TestTornRoundIsWaitedOut(t *testing.T) {
+	g := newGrown(t, 3)
+	tm := g.core.term
+	tm.loaded, tm.ready, tm.acquired = false, false, g.now
+	good := &round.Record{Schema: 2, No: 5, Epoch: 4, Low: 5}
+	whole, err := msgpack.Marshal(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	torn, err := msgpack.Marshal(&round.Record{Schema: 3, No: 6, Epoch: 4, Low: 5, Overflow: &round.Overflow{Parts: 2, Sum: 7}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.step(Loaded{Epoch: tm.epoch, OK: true, Rounds: []statestore.Item{
+		{Key: "round/5", Value: whole, Stamp: 11}, {Key: "round/6", Value: torn, Stamp: 12}}})
+	if tm.ring.Version(6) != 12 {
+		t.Errorf("the slot is written under version %d", tm.ring.Version(6))
+	}
+	g.submit(1, batch)
+	begun := g.now
+	for tm.ring.Free() == g.core.pol.RingSlots && g.now.Sub(begun) < 2*time.Minute {
+		g.pass(200 * time.Millisecond)
+	}
+	waited := g.now.Sub(begun)
+	if least := g.core.set.Params.Workers.Lease() + delegation.Life(g.core.set.Params.Workers); waited < least || waited > least+10*time.Second {
+		t.Errorf("placed after %v, want a little more than %v", waited, least)
+	}
+	if next, _ := tm.ring.Next(); next <= 6+unit.RoundNo(g.core.pol.RingSlots)-1 {
+		t.Errorf("round %d comes after one that can't be read", next)
+	}
+}
+
 // TestSleeperReturnsNothing: a leader that stood still for less than its lease
 // has heard nobody, and must not return a machine that went on reporting. Where
 // most machines had reported just before, the one that had not was returned.
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -4,10 +4,12 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/delegation"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
@@ -40,6 +42,7 @@
 		t.addJob(now, id, item, func(n int) []byte { return parts[checkpoint.PartKey(id, n)] })
 	}
 	var stored []round.Stored
+	var lost []statestore.Item
 	for _, item := range in.Parts {
 		if item.Key == stageKey {
 			t.stage.stamp = item.Stamp
@@ -49,12 +52,17 @@
 		r, err := round.Decode(item.Value, func(n int) []byte { return parts[round.PartKey(item.Key, n)] })
 		if err != nil {
 			t.unreadable(item.Key, err)
+			lost = append(lost, item)
 			continue
 		}
 		stored = append(stored, round.Stored{Key: item.Key, Record: r, Version: item.Stamp})
 	}
 	ring, open := round.Restore(t.c.pol.RingSlots, stored)
 	t.ring = ring
+	for _, item := range lost {
+		t.ring.Skip(item.Key, item.Stamp)
+	}
+	t.lostRounds = len(lost) > 0
 	for _, r := range open {
 		t.replay(now, r)
 	}
@@ -66,6 +74,7 @@
 // unreadable handles a record that can't be read. One of a later schema stops
 // the node: it must not decide without knowing what a newer one has decided.
 func (t *term) unreadable(key string, err error) {
+	t.c.met.Unreadable.Inc()
 	t.c.log.Error("record can't be read", "key", key, "err", err, "epoch", t.epoch)
 	if errors.Is(err, checkpoint.ErrSchema) || errors.Is(err, round.ErrSchema) {
 		t.c.emit(Stop{Err: fmt.Errorf("%s: %w; run the newer program", key, err)})
@@ -151,6 +160,9 @@
 	if t.ready {
 		return
 	}
+	if t.lostRounds && now.Sub(t.acquired) < t.longestPlacement() {
+		return
+	}
 	interval := t.c.set.Params.Workers.ReportInterval()
 	// Where nothing was ever placed or rented, and the cloud lists nothing,
 	// nobody is left to wait for.
@@ -163,6 +175,16 @@
 	t.c.log.Info("reconciled", "epoch", t.epoch, "machines", t.fleet.Len(), "after", now.Sub(t.acquired))
 }
 
+// longestPlacement is how long what an earlier leader started may run on a machine
+// that no report names, counted from the takeover: a lease that a grant has kept to
+// its end. Where a round can't be read nothing is placed before: a task of it may
+// run anywhere.
+func (t *term) longestPlacement() time.Duration {
+	const margin = 2 * time.Second
+	w := t.c.set.Params.Workers
+	return w.Lease() + delegation.Life(w) + margin
+}
+
 // silentPart: one machine in so many may be silent when placing begins.
 const silentPart = 20
 
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -55,6 +55,7 @@
 	parked     []parked
 	tooLarge   map[unit.JobID]unit.Instant // checkpoints not to be tried before
 	stage      stage
+	lostRounds bool // some round's record can't be read
 	reach      handover.Reach
 	found      unit.Instant // when a machine that was silent for too long was last heard again
 	ledger     *delegation.Ledger
--- a/internal/round/ring.go
+++ b/internal/round/ring.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strconv"
+	"strings"
 
 	"badgerbay/internal/parts"
 	"badgerbay/internal/unit"
@@ -87,6 +88,18 @@
 	g.next = max(g.next, r.No+1)
 }
 
+// Skip takes in that the record under a key can't be read. Its slot may be used
+// again under that version, and its number, whatever it was, is passed over: a
+// number names attempts, and must not come twice.
+func (g *Ring) Skip(key string, v unit.Version) {
+	n, err := strconv.Atoi(strings.TrimPrefix(key, KeyPrefix))
+	if err != nil || n < 0 || n >= len(g.slots) {
+		return
+	}
+	g.slots[n].version = v
+	g.next += unit.RoundNo(len(g.slots))
+}
+
 // Stored is a record read back with its version.
 type Stored struct {
 	Key     string
