--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -11,6 +11,7 @@
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/wire"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -112,6 +113,54 @@
 	}
 }
 
+// TestReplacementOutlivesItsLeader: a successor that replays the rounds of a gang
+// takes the replacement of a lost task for where it is, under the gang's attempt,
+// and not the machine that lost it.
+func TestReplacementOutlivesItsLeader(t *testing.T) {
+	g := newGrown(t, 3)
+	tm := g.core.term
+	tm.loaded, tm.ready = false, false
+	spec := gang
+	spec.Tasks = 2
+	job, err := encodeRecord(checkpoint.NewRecord(spec, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := func(m unit.MachineID, i unit.TaskIndex, attempt unit.Attempt) round.Start {
+		return round.Start{Job: "wk-000001", Machine: m, Session: 1, Tasks: unit.Ranges{{First: i, Last: i}}, Attempt: attempt}
+	}
+	var rounds []statestore.Item
+	for _, r := range []*round.Record{
+		{No: 5, Epoch: 4, Low: 5, Starts: wire.List[round.Start]{start("m1", 0, 0), start("m2", 1, 0)}},
+		{No: 7, Epoch: 4, Low: 5, Starts: wire.List[round.Start]{start("m3", 1, 5)}},
+	} {
+		head, _, err := r.Split(2048, 4, statestore.JSONSize)
+		if err != nil {
+			t.Fatal(err)
+		}
+		value, err := msgpack.Marshal(head)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rounds = append(rounds, statestore.Item{Key: tm.ring.Key(r.No), Value: value, Stamp: 20 + unit.Version(r.No)})
+	}
+	g.core.Step(g.now, Loaded{Epoch: tm.epoch, OK: true, Rounds: rounds,
+		Jobs: []statestore.Item{{Key: "job/wk-000001", Value: job, Stamp: 9}}})
+	j := tm.jobs["wk-000001"]
+	if p := j.Live[0]; p == nil || p.Machine != "m1" || p.Attempt != 5 {
+		t.Errorf("task 0: %+v", p)
+	}
+	if p := j.Live[1]; p == nil || p.Machine != "m3" || p.Attempt != 5 {
+		t.Errorf("task 1: %+v", p)
+	}
+	if len(tm.fleet.Machine("m2").Live()) != 0 {
+		t.Error("the machine that lost the task still counts as having it")
+	}
+	if _, may := tm.replacement(g.now, j); may {
+		t.Error("a successor replaces tasks of a gang whose wait it does not know")
+	}
+}
+
 // TestSleeperReturnsNothing: a leader that stood still for less than its lease
 // has heard nobody, and must not return a machine that went on reporting. Where
 // most machines had reported just before, the one that had not was returned.
