--- a/internal/round/gang_test.go
+++ b/internal/round/gang_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/config"
@@ -355,3 +356,26 @@
 		}
 	}
 }
+
+// TestGangIsTheLastToMakeWay: where a task of an array can make room, a gang of the
+// same priority goes on, though its work would be saved and the array's is lost.
+func TestGangIsTheLastToMakeWay(t *testing.T) {
+	s := gangScene(t, "a", "a")
+	saves := gangSpec(2, 2)
+	saves.CheckpointS, saves.SaveS = 20, 3
+	j := s.job("wk-000001", saves)
+	s.place(j, 0, "host-1")
+	s.place(j, 1, "host-1")
+	array := s.job("wk-000002", task("blue", checkpoint.Standard, 2, 2))
+	s.place(array, 0, "host-2")
+	s.place(array, 1, "host-2")
+	s.w.Now = s.w.Now.Add(40 * time.Second)
+	for m, held := range map[unit.MachineID]*checkpoint.Job{"host-1": j, "host-2": array} {
+		s.machineReports(m, held)
+	}
+	s.job("wk-000003", task("blue", checkpoint.Prod, 1, 2))
+	stops := s.plan().Stops
+	if len(stops) != 1 || stops[0].Placement.Job != array {
+		t.Errorf("stopped: %+v, want a task of the array", stops)
+	}
+}
--- a/internal/round/preempt.go
+++ b/internal/round/preempt.go
@@ -276,17 +276,31 @@
 	}
 	s := &v.Job.Spec
 	cpus := s.CPUs * float64(together(v))
+	if s.Gang {
+		return (gangRestart + p.lostByEach(v)) * cpus
+	}
+	return p.lostByEach(v) * cpus
+}
+
+// gangRestart is what it costs a gang, in seconds of all its tasks, to be placed
+// anew: room for all of it at once must be found. Without it replicas of one CPU
+// stopped gangs that had just begun, rather than a task of an array.
+const gangRestart = 60
+
+// lostByEach is the work, in seconds, that a task loses which is stopped.
+func (p *planner) lostByEach(v *checkpoint.Placement) float64 {
+	s := &v.Job.Spec
 	switch {
 	case v.State != checkpoint.Running:
-		return 0.5 * cpus
+		return 0.5
 	case s.CheckpointS > 0 && s.Gang && !p.hears(v.Job):
 		// Not all of its tasks can be told in time, so it can't save: what it did
 		// since its last checkpoint is lost.
-		return (1 + min(s.CheckpointS, p.w.Now.Sub(v.Ran).Seconds())) * cpus
+		return 1 + min(s.CheckpointS, p.w.Now.Sub(v.Ran).Seconds())
 	case s.CheckpointS > 0:
-		return (1 + s.SaveS) * cpus
+		return 1 + s.SaveS
 	}
-	return (1 + p.w.Now.Sub(v.Ran).Seconds()) * cpus
+	return 1 + p.w.Now.Sub(v.Ran).Seconds()
 }
 
 // hears tells whether all machines of a gang report, so that its tasks can be told
