--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -66,6 +66,10 @@
 		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: userapi.Absent})
 		return
 	}
+	if !in.Cancel && beingStored(j) {
+		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: userapi.Absent})
+		return
+	}
 	if !in.Cancel || j.StoredPhase.Final() {
 		t.c.emit(ReplyAsk{Ticket: in.Ticket, Outcome: userapi.Known, Status: userapi.StatusOf(j), Until: t.c.lead.EntitledUntil()})
 		return
@@ -79,6 +83,13 @@
 	t.dirty = true
 }
 
+// beingStored tells whether the end of a job is being stored, and may be already:
+// where the answer to the write is late or lost, another node may have read it and
+// told its user. Only the record itself can tell then.
+func beingStored(j *checkpoint.Job) bool {
+	return j.Writing && j.Phase.Final() && !j.StoredPhase.Final()
+}
+
 func (t *term) haltAll(now unit.Instant, j *checkpoint.Job) {
 	if j.Phase != checkpoint.Cancelled {
 		return
--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -11,6 +11,7 @@
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
+	"badgerbay/internal/userapi"
 	"badgerbay/internal/wire"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -113,6 +114,53 @@
 	}
 }
 
+// TestEndBeingStored: while the end of a job is being stored the leader does not
+// answer polls from memory. Other nodes may have read the record and told "done"
+// before the answer to the write came, and the leader then said "queued".
+func TestEndBeingStored(t *testing.T) {
+	g := newGrown(t, 0)
+	g.submit(1, batch)
+	const id = "wk-000001"
+	j := g.core.term.jobs[id]
+	poll := func() ReplyAsk {
+		for _, e := range g.core.Step(g.now, Asked{Job: id}) {
+			if reply, ok := e.(ReplyAsk); ok {
+				return reply
+			}
+		}
+		t.Fatal("no answer")
+		return ReplyAsk{}
+	}
+	if got := poll(); got.Outcome != userapi.Known || got.Status.Standing != userapi.Queued {
+		t.Errorf("before its end: %+v", got)
+	}
+	for i := range batch.Tasks {
+		j.Complete(g.now, unit.TaskIndex(i))
+	}
+	var write *Commit
+	for range 40 {
+		g.now = g.now.Add(50 * time.Millisecond)
+		for _, e := range g.core.Step(g.now, Tick{}) {
+			if c, ok := e.(Commit); ok && c.Kind == CommitFold {
+				write = &c
+			}
+		}
+		if write != nil {
+			break
+		}
+	}
+	if write == nil {
+		t.Fatal("the end is not stored")
+	}
+	if got := poll(); got.Outcome != userapi.Absent {
+		t.Errorf("while its end is being stored: %+v, want that the record is read", got)
+	}
+	g.core.Step(g.now, Committed{Kind: CommitFold, Epoch: write.Epoch, Version: 999})
+	if got := poll(); got.Outcome != userapi.Known || got.Status.Standing != userapi.Done {
+		t.Errorf("after it was stored: %+v", got)
+	}
+}
+
 // TestReplacementOutlivesItsLeader: a successor that replays the rounds of a gang
 // takes the replacement of a lost task for where it is, under the gang's attempt,
 // and not the machine that lost it.
