Say once how records are split and stored; read each checkpoint once at a takeover

A new leader decoded every job's record a second time only to learn the number of its first part; DecodeWhole now keeps it. The count of parts was checked by each caller of parts.Split, the writes of a record with parts were listed twice, the values allowed since a form worked out twice, and whether a job fits any machine follows from how many fit on the largest.

--- a/internal/checkpoint/parts.go
+++ b/internal/checkpoint/parts.go
@@ -48,13 +48,10 @@
 	out := *plain
 	out.Schema, out.Packed = schemaParts, text[:1] // for its name to be counted
 	out.Overflow = r.overflow(text)
-	head, rest, err := parts.Split(text, limit-size(&out), limit, schemaParts)
+	head, rest, err := parts.Split(text, limit-size(&out), limit, values-1, schemaParts)
 	if err != nil {
 		return nil, nil, fmt.Errorf("job record: %w", err)
 	}
-	if len(rest)+1 > values {
-		return nil, nil, fmt.Errorf("job record: %w: %d parts", parts.ErrTooLarge, len(rest)+1)
-	}
 	out.Packed, out.Overflow.Parts = head, len(rest)
 	return &out, rest, nil
 }
@@ -68,10 +65,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	_, rest, err := parts.Split(text, 0, limit, schemaStaged)
-	if err == nil && len(rest) > bankSize {
-		err = fmt.Errorf("%w: %d parts", parts.ErrTooLarge, len(rest))
-	}
+	_, rest, err := parts.Split(text, 0, limit, bankSize, schemaStaged)
 	if err != nil {
 		return nil, nil, fmt.Errorf("job record: %w", err)
 	}
@@ -109,15 +103,6 @@
 	return n
 }
 
-// FirstPart is the number before that of a stored record's first part.
-func FirstPart(data []byte) int {
-	numbers := PartNumbers(data)
-	if len(numbers) == 0 {
-		return 0
-	}
-	return numbers[0] - 1
-}
-
 // PartNumbers lists the numbers of the parts that a stored record has.
 func PartNumbers(data []byte) []int {
 	r := new(Record)
@@ -158,7 +143,7 @@
 	if err := text.ExpandWith(maxExpanded, unpack); err != nil {
 		return nil, fmt.Errorf("job record: %w", err)
 	}
-	r.Packed, r.Overflow = "", nil
+	r.Packed, r.Overflow, r.FirstPart = "", nil, o.First
 	return r, r.check()
 }
 
--- a/internal/checkpoint/parts_test.go
+++ b/internal/checkpoint/parts_test.go
@@ -211,6 +211,9 @@
 		if err != nil || fmt.Sprint(back.Spec, back.Live, back.Done) != fmt.Sprint(r.Spec, r.Live, r.Done) {
 			t.Errorf("not read back as it was: %v", err)
 		}
+		if j := NewJob("wk-000001", back, 1, 0); j.StoredFirst != head.Overflow.First {
+			t.Errorf("the job's parts are taken for those after number %d, not %d", j.StoredFirst, head.Overflow.First)
+		}
 		delete(values, head.Overflow.First+2)
 		if _, err := DecodeWhole(data, func(n int) []byte { return values[n] }); !errors.Is(err, parts.ErrTorn) {
 			t.Errorf("a part is missing: %v", err)
--- a/internal/checkpoint/record.go
+++ b/internal/checkpoint/record.go
@@ -73,6 +73,9 @@
 	// Overflow is set in a record that is compressed and may have parts. One
 	// that Decode returns with it lacks the done ranges and the placements.
 	Overflow *Overflow `msgpack:"ov,omitempty" json:"ov,omitempty"`
+	// FirstPart is the number before that of the first part which DecodeWhole has
+	// put into the record.
+	FirstPart int `msgpack:"-" json:"-"`
 }
 
 // Encode returns the record as it is stored.
--- a/internal/controller/fold.go
+++ b/internal/controller/fold.go
@@ -95,10 +95,7 @@
 		}
 		return nil, foldedJob{}, false
 	}
-	writes := []statestore.Write{{Set: checkpoint.Key(j.ID), Value: rec}}
-	for i, part := range rest {
-		writes = append(writes, statestore.Write{Set: checkpoint.PartKey(j.ID, i+1), Value: part})
-	}
+	writes := recordWrites(checkpoint.Key(j.ID), rec, rest, func(n int) string { return checkpoint.PartKey(j.ID, n) })
 	return writes, foldedJob{j, j.Seq, rec.Round, rec.Phase}, true
 }
 
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -47,17 +47,29 @@
 	// Only we change records, under the guard of our epoch: this is a write
 	// of ours whose answer was lost. Write again, on top of it.
 	t.c.met.CASConflicts.Inc()
-	j.Version, j.StoredFirst = in.Item.Stamp, checkpoint.FirstPart(in.Item.Value)
-	if r, err := checkpoint.Decode(in.Item.Value); err == nil && r.Phase.Final() {
-		if !j.Phase.Final() {
-			j.Phase, j.Queue = r.Phase, nil
-			t.haltAll(now, j)
-		}
-		j.StoredPhase = r.Phase
+	j.Version, j.StoredFirst = in.Item.Stamp, 0
+	if r, err := checkpoint.Decode(in.Item.Value); err == nil {
+		t.storedMeanwhile(now, j, r)
 	}
 	j.Touch(now)
 }
 
+// storedMeanwhile takes in what a record says, read without its parts, that a write
+// of this leader has stored.
+func (t *term) storedMeanwhile(now unit.Instant, j *checkpoint.Job, r *checkpoint.Record) {
+	if r.Overflow != nil {
+		j.StoredFirst = r.Overflow.First
+	}
+	if !r.Phase.Final() {
+		return
+	}
+	if !j.Phase.Final() {
+		j.Phase, j.Queue = r.Phase, nil
+		t.haltAll(now, j)
+	}
+	j.StoredPhase = r.Phase
+}
+
 // asked answers a poll, or begins a cancellation.
 func (t *term) asked(now unit.Instant, in Asked) {
 	j := t.jobs[in.Job]
--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -18,18 +18,16 @@
 	return t.c.set.Params.State.Tight()
 }
 
-// parts is how many values a job's record may take: as many as one transaction
-// holds, once all nodes can read parts.
-func (t *term) parts() int {
-	if t.cluster.Form() < rollout.Parts {
-		return 1
-	}
-	return t.limits().TxnValues()
-}
+// parts is how many values a job's record may take.
+func (t *term) parts() int { return t.valuesSince(rollout.Parts) }
 
 // roundParts is how many values a round's record may take.
-func (t *term) roundParts() int {
-	if t.cluster.Form() < rollout.Staged {
+func (t *term) roundParts() int { return t.valuesSince(rollout.Staged) }
+
+// valuesSince is how many values a record may take that has parts since a form: as
+// many as one transaction holds, once all nodes know the form.
+func (t *term) valuesSince(form rollout.Form) int {
+	if t.cluster.Form() < form {
 		return 1
 	}
 	return t.limits().TxnValues()
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -7,6 +7,7 @@
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/leadership"
+	"badgerbay/internal/parts"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
@@ -132,11 +133,16 @@
 	if err != nil {
 		return nil, err
 	}
-	writes := []statestore.Write{{Set: key, Value: stored}}
+	return recordWrites(key, stored, rest, func(n int) string { return round.PartKey(key, n) }), nil
+}
+
+// recordWrites are the changes that store a record with its parts.
+func recordWrites(key string, record any, rest []*parts.Part, partKey func(n int) string) []statestore.Write {
+	writes := []statestore.Write{{Set: key, Value: record}}
 	for i, part := range rest {
-		writes = append(writes, statestore.Write{Set: round.PartKey(key, i+1), Value: part})
+		writes = append(writes, statestore.Write{Set: partKey(i + 1), Value: part})
 	}
-	return writes, nil
+	return writes
 }
 
 // undo takes back a round that surely was not stored.
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -89,7 +89,6 @@
 		return
 	}
 	j := checkpoint.NewJob(id, r, item.Stamp, now)
-	j.StoredFirst = checkpoint.FirstPart(item.Value)
 	t.jobs[id] = j
 	if old := t.lastSpec[r.Spec.Class]; old == nil || r.Phase == checkpoint.Active {
 		t.lastSpec[r.Spec.Class] = &j.Spec
--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -44,9 +44,9 @@
 // Sum is what a record and its parts name.
 func Sum(text wire.Packed) uint32 { return crc32.ChecksumIEEE([]byte(text)) }
 
-// Split cuts text into a head of at most room bytes and parts whose values take
-// at most limit bytes in JSON.
-func Split(text wire.Packed, room, limit, schema int) (wire.Packed, []*Part, error) {
+// Split cuts text into a head of at most room bytes and at most so many parts,
+// whose values take at most limit bytes in JSON.
+func Split(text wire.Packed, room, limit, most, schema int) (wire.Packed, []*Part, error) {
 	size := limit - overhead
 	if room < 0 || size <= 0 {
 		return "", nil, fmt.Errorf("%w: its head alone leaves no room", ErrTooLarge)
@@ -58,7 +58,7 @@
 		end := min(len(text), begin+size)
 		rest = append(rest, &Part{Schema: schema, Sum: sum, Packed: text[begin:end]})
 	}
-	if len(rest) > Most {
+	if len(rest) > min(most, Most) {
 		return "", nil, fmt.Errorf("%w: %d parts", ErrTooLarge, len(rest))
 	}
 	return text[:head], rest, nil
--- a/internal/round/record.go
+++ b/internal/round/record.go
@@ -152,13 +152,10 @@
 	out := *plain
 	out.Schema, out.Packed = schemaParts, text[:1] // for its name to be counted
 	out.Overflow = &Overflow{Parts: parts.Most, Sum: parts.Sum(text)}
-	head, rest, err := parts.Split(text, limit-size(&out), limit, schemaParts)
+	head, rest, err := parts.Split(text, limit-size(&out), limit, values-1, schemaParts)
 	if err != nil {
 		return nil, nil, fmt.Errorf("round record: %w", err)
 	}
-	if len(rest)+1 > values {
-		return nil, nil, fmt.Errorf("round record: %w: %d parts", parts.ErrTooLarge, len(rest)+1)
-	}
 	out.Packed, out.Overflow.Parts = head, len(rest)
 	return &out, rest, nil
 }
--- a/internal/userapi/rules.go
+++ b/internal/userapi/rules.go
@@ -39,10 +39,11 @@
 	if len(r.Types) == 0 {
 		return http.StatusServiceUnavailable
 	}
-	if !r.fitsSomewhere(s) || s.Gang && s.ZoneCap() < s.Tasks && !r.mayBeApart(s) {
+	most := r.mostOnOne(s)
+	if most == 0 || s.Gang && s.ZoneCap() < s.Tasks && !r.mayBeApart(s) {
 		return http.StatusUnprocessableEntity
 	}
-	if s.Gang && !round.GangFits(s, r.mostOnOne(s), statestore.JSONSize(s), r.State) {
+	if s.Gang && !round.GangFits(s, most, statestore.JSONSize(s), r.State) {
 		return http.StatusUnprocessableEntity
 	}
 	return 0
@@ -56,7 +57,7 @@
 		if len(zones) == 0 {
 			zones = r.Zones
 		}
-		if slices.ContainsFunc(zones, func(z unit.Zone) bool { return s.Allows(t.Name, z, false) || s.Allows(t.Name, z, true) }) {
+		if slices.ContainsFunc(zones, func(z unit.Zone) bool { return s.Allows(t.Name, z, false) }) {
 			most = max(most, t.Capacity.Holds(s.Need()))
 		}
 	}
@@ -68,21 +69,3 @@
 func (r *Rules) mayBeApart(s *checkpoint.Spec) bool {
 	return !s.OneZone && s.Zone == "" && len(r.Zones) > 1
 }
-
-func (r *Rules) fitsSomewhere(s *checkpoint.Spec) bool {
-	for _, t := range r.Types {
-		if !t.Capacity.Fits(s.Need()) {
-			continue
-		}
-		zones := t.Zones
-		if len(zones) == 0 {
-			zones = r.Zones
-		}
-		for _, z := range zones {
-			if s.Allows(t.Name, z, false) {
-				return true
-			}
-		}
-	}
-	return false
-}
