--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -143,6 +143,22 @@
 // Lease is how long a worker keeps its tasks without an answer.
 func (w Workers) Lease() time.Duration { return unit.Seconds(w.LeaseS) }
 
+const (
+	// reportTimeout is how long a worker waits for the answer to a report, and
+	// nextNodePause how long before it tries the next node.
+	reportTimeout = 4 * time.Second
+	nextNodePause = time.Second
+)
+
+// TakeoverTime is how long all nodes may leave a worker without an answer: its
+// last answered report was sent up to a report interval and a quarter before, and
+// after one that a lost leader never answers it finds the successor with its
+// first try elsewhere.
+func (w Workers) TakeoverTime() time.Duration {
+	interval := w.ReportInterval()
+	return w.Lease() - interval - interval/4 - reportTimeout - nextNodePause
+}
+
 // Cancel is how long the tasks of a cancelled job may stay.
 func (w Workers) Cancel() time.Duration { return unit.Seconds(w.CancelS) }
 
--- /dev/null
+++ b/internal/controller/shortlease_test.go
@@ -0,0 +1,55 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"badgerbay/internal/config"
+)
+
+// shortLeases are workers that report every second and live for ten without an
+// answer.
+var shortLeases = config.Workers{ReportS: 1, LeaseS: 10, CancelS: 40, GangWaitS: 45, GangPeerS: 6}
+
+// newSimWith returns a sim whose workers have other times.
+func newSimWith(t *testing.T, seed uint64, w config.Workers) *sim {
+	s := newSim(t, seed)
+	s.set.Params.Workers = w
+	for _, n := range s.nodes {
+		s.start(n)
+	}
+	return s
+}
+
+// TestLostLeaderWithShortLeases takes the leader off the network: each worker waits
+// 4 s for an answer that never comes and tries the next node a second later. With a
+// leader lease of 6 s whatever the workers' was, no node could answer them by then,
+// they came back to the lost one, and two thirds of them lost their tasks.
+func TestLostLeaderWithShortLeases(t *testing.T) {
+	eachSeed(t, 12, func(t *testing.T, seed uint64) {
+		s := newSimWith(t, 400+seed, shortLeases)
+		s.submit(1, spread, 0)
+		s.submit(2, batch, 5*time.Minute)
+		s.run(40 * time.Second)
+		workers := 0
+		for _, h := range s.cloud.Machines {
+			if h.Worker != nil && h.Worker.Session == 1 {
+				workers++
+			}
+		}
+		l := s.leader()
+		if l == nil || workers < 2 {
+			t.Fatalf("leader %v, %d workers", l, workers)
+		}
+		s.cut[l.index], s.alone[l.index] = true, true
+		s.run(30 * time.Second)
+		for _, h := range s.cloud.Machines {
+			if h.Worker != nil && h.Worker.Session > 1 {
+				t.Errorf("%s lost its lease", h.Worker.ID)
+			}
+		}
+		delete(s.cut, l.index)
+		delete(s.alone, l.index)
+		s.finish()
+	})
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -20,13 +20,6 @@
 	Nonce string `msgpack:"nonce" json:"nonce"`
 }
 
-// Times are the settings of the lease.
-type Times struct {
-	Life  time.Duration // of the lease
-	Renew time.Duration // between renewals
-	Poll  time.Duration // between looks at the key by a node that does not lead
-}
-
 const (
 	retryRenew = 700 * time.Millisecond
 	// margin is what entitlement gives up at the end of the lease for timers
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -3,7 +3,9 @@
 # Durations are in seconds.
 
 # Leadership: life of the lease, time between renewals, and time between looks
-# at the key by a node that does not lead.
+# at the key by a node that does not lead. These are upper bounds: where the
+# leases of the workers are short, they are shortened so that a successor leads
+# before those end.
 lease_s = 6
 renew_s = 1.5
 leader_poll_s = 0.5
