--- a/internal/checkpoint/spec.go
+++ b/internal/checkpoint/spec.go
@@ -88,11 +88,29 @@
 }
 
 // Times returns n of r.
-func (r Resources) Times(n int) Resources {
-	f := float64(n)
+func (r Resources) Times(n int) Resources { return r.Scaled(float64(n)) }
+
+// Scaled returns r times f.
+func (r Resources) Scaled(f float64) Resources {
 	return Resources{r.CPUs * f, r.GPUs * f, r.MemoryGB * f}
 }
 
+// DominantShare is the largest share that r takes of any resource of all; +Inf
+// if it takes some of which there is none.
+func (r Resources) DominantShare(all Resources) float64 {
+	return max(share(r.CPUs, all.CPUs), share(r.GPUs, all.GPUs), share(r.MemoryGB, all.MemoryGB))
+}
+
+func share(part, whole float64) float64 {
+	switch {
+	case part <= epsilon:
+		return 0
+	case whole <= epsilon:
+		return math.Inf(1)
+	}
+	return part / whole
+}
+
 // Need is what one task takes.
 func (s *Spec) Need() Resources { return Resources{s.CPUs, s.GPUs, s.MemoryGB} }
 
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -88,17 +88,11 @@
 
 func (t *term) objectives() {
 	for _, o := range t.c.set.Params.Objectives {
-		e, within := t.expect[o.Class], unit.Seconds(o.WithinS)
-		switch {
-		case o.Kind == "wait" && within > 0:
-			e.Start = within
-			if within <= quickStart {
-				t.quick = append(t.quick, o.Class)
-			}
-		case o.Kind == "finished" && within > 0:
-			e.Finish = within
+		within := unit.Seconds(o.WithinS)
+		t.expect[o.Class] = t.expect[o.Class].Add(o.Kind, within)
+		if o.Kind == "wait" && within > 0 && within <= quickStart {
+			t.quick = append(t.quick, o.Class)
 		}
-		t.expect[o.Class] = e
 	}
 }
 
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -68,8 +68,8 @@
 	Tasks    int
 	Services int
 	Halting  int
-	// ServiceCPUs is what the replicas hold.
-	ServiceCPUs float64
+	// ByServices is what the replicas hold.
+	ByServices checkpoint.Resources
 	// ByPriority counts by the job's priority.
 	ByPriority [checkpoint.Prod + 1]int
 }
@@ -79,7 +79,7 @@
 	l.ByPriority[p.Job.Spec.Priority] += n
 	if p.Job.Spec.Service {
 		l.Services += n
-		l.ServiceCPUs += float64(n) * p.Job.Spec.CPUs
+		l.ByServices = l.ByServices.Plus(p.Job.Spec.Need().Times(n))
 	}
 	if p.Halting {
 		l.Halting += n
--- a/internal/round/consolidate.go
+++ b/internal/round/consolidate.go
@@ -126,14 +126,14 @@
 // roomLeft tells whether the machines that stay keep the headroom for replicas
 // like these, and the room kept free for the classes that must start fast.
 func (v *vacation) roomLeft(spec *checkpoint.Spec) bool {
-	free, all := 0.0, 0.0
+	var free, all checkpoint.Resources
 	for b, room := range v.free {
 		if spec.Allows(b.typ.Name, b.zone, b.spot) {
-			free += room.CPUs
-			all += b.typ.Capacity.CPUs
+			free = free.Plus(room)
+			all = all.Plus(b.typ.Capacity)
 		}
 	}
-	if free < headroom*all {
+	if !free.Fits(all.Scaled(headroom)) {
 		return false
 	}
 	for _, s := range v.p.w.Spares {
--- a/internal/round/order.go
+++ b/internal/round/order.go
@@ -47,16 +47,16 @@
 		p.waited(j) >= neglected
 }
 
-// forNeglected is how many CPUs old jobs may have beyond what they hold. What
-// nothing runs of has one task all the same.
-func (p *planner) forNeglected() float64 {
-	room := 0.0
+// forNeglected is how much old jobs may have beyond what they hold. What nothing
+// runs of has one task all the same.
+func (p *planner) forNeglected() checkpoint.Resources {
+	var room checkpoint.Resources
 	for _, b := range p.bins {
-		room += neglectedPart * b.typ.Capacity.CPUs
+		room = room.Plus(b.typ.Capacity.Scaled(neglectedPart))
 	}
 	for _, j := range p.w.All {
 		if p.isOld(j) {
-			room -= float64(len(j.Live)) * j.Spec.CPUs
+			room = room.Minus(j.Spec.Need().Times(len(j.Live)))
 		}
 	}
 	return room
@@ -148,7 +148,7 @@
 
 // firstTasks is how many tasks an old job may start before others.
 func (p *planner) firstTasks(j *checkpoint.Job) int {
-	n := int(p.spareForOld / j.Spec.CPUs)
+	n := p.spareForOld.Holds(j.Spec.Need())
 	if p.waited(j) >= overdue {
 		n = math.MaxInt32
 	}
@@ -156,7 +156,7 @@
 		n = max(n, 1)
 	}
 	n = len(j.Fresh(min(max(0, n), j.Queue.Len())))
-	p.spareForOld -= float64(n) * j.Spec.CPUs
+	p.spareForOld = p.spareForOld.Minus(j.Spec.Need().Times(n))
 	return n
 }
 
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -39,11 +39,11 @@
 	surplus float64           // CPUs beyond what the guarantees want as machines
 	inZone  map[unit.Zone]int // machines, coming ones too
 
-	work   [checkpoint.Prod + 1]float64 // CPU seconds of arrays by priority, see countWork
-	ahead  map[*checkpoint.Job]float64  // see queueWork
-	usable map[shape]float64            // see drain
-	// spareForOld is what old jobs may still start before others, in CPUs.
-	spareForOld float64
+	work   [checkpoint.Prod + 1]checkpoint.Resources // of arrays by priority, see workOf
+	ahead  map[*checkpoint.Job]checkpoint.Resources  // see queueWork
+	usable map[shape]checkpoint.Resources            // see usableBy
+	// spareForOld is what old jobs may still start before others.
+	spareForOld checkpoint.Resources
 
 	elders map[*checkpoint.Job]*checkpoint.Placement // see eldest
 
@@ -60,7 +60,7 @@
 		placed: map[*bin]int{}, claimed: map[*checkpoint.Job]unit.Ranges{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
 		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{},
-		elders: map[*checkpoint.Job]*checkpoint.Placement{}, ahead: map[*checkpoint.Job]float64{}, usable: map[shape]float64{}, began: map[*checkpoint.Job]int{}, promised: map[*checkpoint.Job]int{}, gangZone: map[*checkpoint.Job]unit.Zone{}}
+		elders: map[*checkpoint.Job]*checkpoint.Placement{}, ahead: map[*checkpoint.Job]checkpoint.Resources{}, usable: map[shape]checkpoint.Resources{}, began: map[*checkpoint.Job]int{}, promised: map[*checkpoint.Job]int{}, gangZone: map[*checkpoint.Job]unit.Zone{}}
 	p.plan.Record = Record{Schema: schemaPlain, No: w.No, Epoch: w.Epoch}
 	p.size = p.plan.Record.SizeOf()
 	p.countUsage()
--- a/internal/round/urgency.go
+++ b/internal/round/urgency.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/fleet"
@@ -51,8 +52,8 @@
 	if e.Start > 0 {
 		left = min(left, e.Start.Seconds()-waited)
 	}
-	if e.Finish > 0 {
-		left = min(left, e.Finish.Seconds()-waited-runs*j.Spec.EstimateS)
+	if finish, ok := p.reachable(j); ok {
+		left = min(left, finish.Seconds()-waited-runs*j.Spec.EstimateS)
 	}
 	if j.Spec.DeadlineS > 0 {
 		left = min(left, j.Spec.DeadlineS-waited-runs*j.Spec.EstimateS)
@@ -68,6 +69,21 @@
 	return max(0, left)
 }
 
+// reachable is the shortest time in which the job's class should be done that the
+// job can still keep if all goes well, or else the longest.
+func (p *planner) reachable(j *checkpoint.Job) (time.Duration, bool) {
+	targets := p.w.Expect[j.Spec.Class].Finish
+	if len(targets) == 0 {
+		return 0, false
+	}
+	for _, t := range targets {
+		if p.waited(j)+hopeful*j.Spec.EstimateS <= t.Seconds() {
+			return t, true
+		}
+	}
+	return targets[len(targets)-1], true
+}
+
 // runTime is how long a task of the job is expected to run, in seconds.
 func runTime(j *checkpoint.Job) float64 {
 	if j.Spec.EstimateS <= 0 {
@@ -76,52 +92,67 @@
 	return runs * j.Spec.EstimateS
 }
 
-// countWork sums up, in CPU seconds, what is left of the arrays that run.
+// workOf is what n tasks of the job hold, times the seconds that they run.
+func workOf(j *checkpoint.Job, n int) checkpoint.Resources {
+	return j.Spec.Need().Scaled(float64(n) * runTime(j))
+}
+
+// countWork sums up what is left of the arrays that run: half of it, on average.
 func (p *planner) countWork() {
 	for _, j := range p.w.All {
 		if !j.Spec.Service {
-			p.work[j.Spec.Priority] += float64(len(j.Live)) * j.Spec.CPUs * runTime(j) / 2
+			p.addWork(j.Spec.Priority, workOf(j, len(j.Live)).Scaled(0.5))
 		}
 	}
 }
 
+func (p *planner) addWork(prio checkpoint.Priority, work checkpoint.Resources) {
+	p.work[prio] = p.work[prio].Plus(work)
+}
+
 // queueWork notes what goes before the end of the job: what runs of its
 // priority and above, what is queued before it, and the job itself.
 func (p *planner) queueWork(j *checkpoint.Job) {
-	if j.Spec.Service || p.ahead[j] > 0 {
+	if _, counted := p.ahead[j]; j.Spec.Service || counted {
 		return
 	}
-	p.work[j.Spec.Priority] += float64(j.Queue.Len()) * j.Spec.CPUs * runTime(j)
-	sum := 0.0
+	p.addWork(j.Spec.Priority, workOf(j, j.Queue.Len()))
+	var sum checkpoint.Resources
 	for _, w := range p.work[j.Spec.Priority:] {
-		sum += w
+		sum = sum.Plus(w)
 	}
 	p.ahead[j] = sum
 }
 
 // drain is how long, in seconds, the machines that are up or coming take to get
-// through what goes before the job's last start. A machine rented for work that
-// will have found room by then comes too late to help: in bursts hundreds of
-// dear ones came when those they were rented for were done.
+// through what goes before the job's last start, by the resource that is the
+// scarcest. A machine rented for work that will have found room by then comes too
+// late to help: in bursts hundreds of dear ones came when those they were rented
+// for were done. Counted in CPUs alone, machines whose GPUs were all taken seemed
+// to have room.
 func (p *planner) drain(j *checkpoint.Job) float64 {
-	cpus, ok := p.usable[shapeOf(&j.Spec)]
-	if !ok {
-		for _, b := range p.bins {
-			if j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
-				cpus += b.typ.Capacity.CPUs - b.m.Load().ServiceCPUs
-			}
-		}
-		for _, b := range p.come {
-			if j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
-				cpus += b.typ.Capacity.CPUs
-			}
+	return p.ahead[j].DominantShare(p.usableBy(j))
+}
+
+// usableBy is what arrays of the job's shape can have of the machines that are up
+// or coming.
+func (p *planner) usableBy(j *checkpoint.Job) checkpoint.Resources {
+	sum, ok := p.usable[shapeOf(&j.Spec)]
+	if ok {
+		return sum
+	}
+	for _, b := range p.bins {
+		if j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+			sum = sum.Plus(b.typ.Capacity.Minus(b.m.Load().ByServices))
 		}
-		p.usable[shapeOf(&j.Spec)] = cpus
 	}
-	if cpus <= 0 {
-		return math.Inf(1)
+	for _, b := range p.come {
+		if j.Spec.Allows(b.typ.Name, b.zone, b.spot) {
+			sum = sum.Plus(b.typ.Capacity)
+		}
 	}
-	return p.ahead[j] / cpus
+	p.usable[shapeOf(&j.Spec)] = sum
+	return sum
 }
 
 // worth tells whether a machine of the kind may be rented for the job: work
@@ -158,7 +189,7 @@
 // unexpecting tells whether nothing is expected of the job's class: it has no
 // deadline and no objective.
 func (p *planner) unexpecting(j *checkpoint.Job) bool {
-	return !j.Spec.Service && j.Spec.DeadlineS <= 0 && p.w.Expect[j.Spec.Class] == Expect{}
+	return !j.Spec.Service && j.Spec.DeadlineS <= 0 && p.w.Expect[j.Spec.Class].None()
 }
 
 // startTime is how long, in seconds, a new machine takes to run the job.
--- /dev/null
+++ b/internal/round/urgency_test.go
@@ -0,0 +1,71 @@
+package round
+
+import (
+	"testing"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/rental"
+	"badgerbay/internal/unit"
+)
+
+// gpuScene has one machine type with many CPUs and two GPUs, whose spot machines
+// are all taken, and n ordinary machines that are up.
+func gpuScene(t *testing.T, n int) *scene {
+	s := newScene(t)
+	s.w.Types = []*fleet.Type{{Name: "m4", Capacity: checkpoint.Resources{CPUs: 64, GPUs: 2, MemoryGB: 64}, CacheGB: 90, FetchGBps: 0.5,
+		Price: 4, SpotPrice: 1, Boot: 30 * time.Second, Zones: []unit.Zone{"a", "b"}}}
+	s.w.Fleet.SetTypes(s.w.Types)
+	s.w.Teams = nil
+	s.w.Blocked = func(o rental.Offer) bool { return o.Spot }
+	for i := range n {
+		s.machine(unit.MachineID("host-"+string(rune('a'+i))), "a", false)
+	}
+	return s
+}
+
+func gpuArray(tasks int, estimate float64) checkpoint.Spec {
+	return checkpoint.Spec{Class: "arr", Team: "red", Priority: checkpoint.BestEffort, Tasks: tasks, CPUs: 2, GPUs: 1, MemoryGB: 1,
+		Image: "i", ImageGB: 1, EstimateS: estimate, Spot: true}
+}
+
+// TestScarceGPUsDecide: 40 tasks that want a GPU each take four machines with two
+// GPUs five turns, however many CPUs those have. Counted in CPUs they seemed to have
+// room for all of them at once, and no machine was rented.
+func TestScarceGPUsDecide(t *testing.T) {
+	s := gpuScene(t, 4)
+	s.w.Expect = map[unit.Class]Expect{"arr": Expect{}.Add("finished", 110*time.Second)}
+	s.job("wk-000001", gpuArray(40, 50))
+	if plan := s.plan(); len(plan.Record.Hires) == 0 {
+		t.Error("no machine is rented for an array that the machines at hand would finish late")
+	}
+}
+
+// TestShortestObjectiveDecides: of several times in which a class should be done
+// the shortest counts, as long as the job can still keep it. The last one counted,
+// so work was planned to be done within the 250 s that only stragglers may take.
+func TestShortestObjectiveDecides(t *testing.T) {
+	s := gpuScene(t, 1)
+	s.w.Expect = map[unit.Class]Expect{"arr": Expect{}.Add("finished", 250*time.Second).Add("finished", 150*time.Second)}
+	j := s.job("wk-000001", gpuArray(1, 50))
+	patienceAfter := func(waited time.Duration) float64 {
+		w := *s.w
+		w.WallMs = waited.Milliseconds()
+		return (&planner{w: &w}).patience(j)
+	}
+	for _, c := range []struct {
+		waited time.Duration
+		want   float64
+	}{
+		{0, 150 - runs*50},
+		{80 * time.Second, 150 - 80 - runs*50},
+		{119 * time.Second, 0}, // all must go well
+		{121 * time.Second, 250 - 121 - runs*50},
+		{240 * time.Second, 0},
+	} {
+		if got := patienceAfter(c.waited); got < c.want-0.01 || got > c.want+0.01 {
+			t.Errorf("after %v: patience %v, want %v", c.waited, got, c.want)
+		}
+	}
+}
--- a/internal/round/world.go
+++ b/internal/round/world.go
@@ -1,6 +1,7 @@
 package round
 
 import (
+	"slices"
 	"time"
 
 	"badgerbay/internal/checkpoint"
@@ -52,8 +53,27 @@
 	For       unit.JobID
 }
 
-// Expect is what the objectives say of a class; 0: nothing.
-type Expect struct{ Start, Finish time.Duration }
+// Expect is what the objectives say of a class.
+type Expect struct {
+	Start  time.Duration   // to begin within; 0: nothing is said
+	Finish []time.Duration // to be done within, the shortest first
+}
+
+// Add returns the expectations with an objective more.
+func (e Expect) Add(kind string, within time.Duration) Expect {
+	switch {
+	case within <= 0:
+	case kind == "wait":
+		e.Start = within
+	case kind == "finished":
+		e.Finish = append(slices.Clone(e.Finish), within)
+		slices.Sort(e.Finish)
+	}
+	return e
+}
+
+// None tells whether nothing is expected of the class.
+func (e Expect) None() bool { return e.Start == 0 && len(e.Finish) == 0 }
 
 // Plan is what a round decides.
 type Plan struct {
