--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -46,7 +46,7 @@
 	rng *rand.Rand, log *slog.Logger, met *Metrics) *Core {
 	times := leadership.Times{Life: pol.LeaseLife, Renew: pol.LeaseRenew, Poll: pol.LeaderPoll}.Within(set.Params.Workers.TakeoverTime())
 	return &Core{set: set, pol: pol, log: log, met: met, budget: budget, clock: clock,
-		lead: leadership.New(set.Label, times, rng), keeper: delegation.NewKeeper(unit.Zone(set.Location), clock.Now()),
+		lead: leadership.New(set.Label, times, rng), keeper: delegation.NewKeeper(unit.Zone(set.Location), set.Params.Workers, clock.Now()),
 		outside: outsideNode(set)}
 }
 
--- a/internal/controller/large_test.go
+++ b/internal/controller/large_test.go
@@ -126,7 +126,7 @@
 	if said.Life == 0 || len(said.Owing) != largeFleet {
 		t.Errorf("a grant of %v without %d machines", said.Life, len(said.Owing))
 	}
-	keeper := delegation.NewKeeper("a", g.now)
+	keeper := delegation.NewKeeper("a", g.core.set.Params.Workers, g.now)
 	grant, err := mesh.PackDelegation(said).Unpack()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/controller/shortlease_test.go
+++ b/internal/controller/shortlease_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"badgerbay/internal/config"
+	"badgerbay/internal/fake"
 )
 
 // shortLeases are workers that report every second and live for ten without an
@@ -43,13 +44,47 @@
 		}
 		s.cut[l.index], s.alone[l.index] = true, true
 		s.run(30 * time.Second)
-		for _, h := range s.cloud.Machines {
-			if h.Worker != nil && h.Worker.Session > 1 {
-				t.Errorf("%s lost its lease", h.Worker.ID)
-			}
+		if lost := s.sessionsLost(); lost > 0 {
+			t.Errorf("%d machines lost their leases", lost)
 		}
 		delete(s.cut, l.index)
 		delete(s.alone, l.index)
 		s.finish()
 	})
 }
+
+// TestCutZoneWithShortLeases cuts off a zone with nodes in it for two leases and
+// more: nothing may be lost on a machine whose worker finds a node with its first try
+// elsewhere. Workers that came from a leader which did not answer were sent to probe
+// another node, and were back after their lease. Where the next node is out of reach
+// too, two waits of 4 s and the pauses between outlast a lease of 10 s whatever the
+// nodes do.
+func TestCutZoneWithShortLeases(t *testing.T) {
+	eachSeed(t, 24, func(t *testing.T, seed uint64) {
+		s := newSimWith(t, 500+seed, shortLeases)
+		s.submit(1, spread, 0)
+		s.submit(2, batch, 2*time.Minute)
+		s.run(40 * time.Second)
+		l := s.leader()
+		if l == nil {
+			t.Fatal("nobody leads")
+		}
+		s.zoneCut = s.nodes[seed%2].zone
+		next := s.nodes[(l.index+1)%len(s.nodes)]
+		var reporting []*fake.Worker
+		for _, h := range s.cloud.Machines {
+			if h.Worker != nil && h.Worker.Token > 0 && !s.severed(h.Offer.Zone, next.zone) {
+				reporting = append(reporting, h.Worker)
+			}
+		}
+		s.run(22 * time.Second)
+		for _, w := range reporting {
+			if w.Session > 1 {
+				t.Errorf("%s lost its lease, leader %s, next %s", w.ID, l.name, next.name)
+			}
+		}
+		s.heal()
+		s.run(20 * time.Second)
+		s.finish()
+	})
+}
--- a/internal/delegation/keeper.go
+++ b/internal/delegation/keeper.go
@@ -89,18 +89,27 @@
 type Keeper struct {
 	zone    unit.Zone // of the node: it keeps no others' workers
 	started unit.Instant
-	epoch   unit.Epoch
-	heard   unit.Instant // when the last request left that the leader answered
-	base    unit.Instant // when the request for the grant left
-	until   unit.Instant
-	owing   map[unit.MachineID]bool
-	last    unit.Instant // 0: never kept a worker
-	sent    map[unit.MachineID]unit.Instant
+	// probeFirst: a worker that has waited in vain for the node that it came from
+	// can bear another such wait before its lease ends.
+	probeFirst bool
+	epoch      unit.Epoch
+	heard      unit.Instant // when the last request left that the leader answered
+	base       unit.Instant // when the request for the grant left
+	until      unit.Instant
+	owing      map[unit.MachineID]bool
+	last       unit.Instant // 0: never kept a worker
+	workers    map[unit.MachineID]contact
+}
+
+// contact is the last report of a worker during a cut.
+type contact struct {
+	at     unit.Instant
+	probed bool // it has been sent to another node
 }
 
 // NewKeeper returns the keeper of a process that has started at now.
-func NewKeeper(zone unit.Zone, now unit.Instant) *Keeper {
-	return &Keeper{zone: zone, started: now, sent: map[unit.MachineID]unit.Instant{}}
+func NewKeeper(zone unit.Zone, w config.Workers, now unit.Instant) *Keeper {
+	return &Keeper{zone: zone, started: now, probeFirst: w.TakeoverTime() > probeTime, workers: map[unit.MachineID]contact{}}
 }
 
 // Take takes in a grant that was asked for at base.
@@ -129,7 +138,9 @@
 
 // Judge decides on a report. A worker that may reach another node probes one
 // first: the leader, if there is one, does better by it. It must be back before
-// the grant ends, or the probe would cost it the last renewal of its lease.
+// the grant ends, or the probe would cost it the last renewal of its lease. Where
+// leases are short it is kept once before it probes: it comes from a node that did
+// not answer, and a second wait of 4 s cost it a lease of 10 s.
 func (k *Keeper) Judge(now unit.Instant, cut Isolation, r *fleet.Report) Verdict {
 	if cut == Connected || k.epoch == 0 || now.Sub(k.heard) < lost {
 		return Pass
@@ -138,25 +149,25 @@
 	if !may {
 		return Refuse
 	}
-	if k.mayProbe(now, cut, r.Machine) {
-		if len(k.sent) > known {
-			clear(k.sent)
-		}
-		k.sent[r.Machine] = now
+	if len(k.workers) > known {
+		clear(k.workers)
+	}
+	last, here := k.workers[r.Machine]
+	if here = here && now.Sub(last.at) <= tried; !here {
+		last = contact{}
+	}
+	if k.mayProbe(now, cut) && !last.probed && (here || k.probeFirst) {
+		k.workers[r.Machine] = contact{at: now, probed: true}
 		return Probe
 	}
-	k.sent[r.Machine], k.last = now, now
+	k.workers[r.Machine], k.last = contact{at: now, probed: last.probed}, now
 	return Keep
 }
 
-// mayProbe tells whether a worker should look for another node: it has not done
-// so lately, and will be back in time if it finds none.
-func (k *Keeper) mayProbe(now unit.Instant, cut Isolation, id unit.MachineID) bool {
-	if cut == Outage || k.until.Before(now.Add(probeTime)) {
-		return false
-	}
-	at, ok := k.sent[id]
-	return !ok || now.Sub(at) > tried
+// mayProbe tells whether a worker that looks for another node is back before the
+// grant ends if it finds none.
+func (k *Keeper) mayProbe(now unit.Instant, cut Isolation) bool {
+	return cut != Outage && !k.until.Before(now.Add(probeTime))
 }
 
 // Quiet is how long ago, at least, this node kept a worker; what an earlier
--- a/internal/delegation/keeper_test.go
+++ b/internal/delegation/keeper_test.go
@@ -38,7 +38,7 @@
 		return &fleet.Report{Machine: id, Zone: zone, Token: token}
 	}
 	mine := report("m1", "a", 7)
-	k := NewKeeper("a", now)
+	k := NewKeeper("a", settings().Params.Workers, now)
 	if k.Judge(seconds(60), Alone, mine) != Pass {
 		t.Error("a node that never had a grant took a decision of its own")
 	}
@@ -70,6 +70,19 @@
 	}
 }
 
+// TestKeeperOfShortLeases: a worker whose lease does not bear a second wait for a
+// node that does not answer is kept before it probes one, and after it.
+func TestKeeperOfShortLeases(t *testing.T) {
+	k := NewKeeper("a", config.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}, now)
+	k.Take(seconds(60), Said{Epoch: 7, Life: 27 * time.Second})
+	for i, want := range []Verdict{Keep, Probe, Keep, Keep} {
+		at := []float64{65, 66, 71.5, 72.5}[i]
+		if got := k.Judge(seconds(at), Alone, &fleet.Report{Machine: "m1", Zone: "a", Token: 7}); got != want {
+			t.Errorf("at %v s: verdict %v, want %v", at, got, want)
+		}
+	}
+}
+
 // TestLedger: a zone's leases count from the last moment at which a node in it
 // may have kept them, whether or not that node is heard.
 func TestLedger(t *testing.T) {
