--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -293,77 +292,3 @@
 	}
 	return nil
 }
-
-func (p *Params) check() error {
-	if len(p.Zones) == 0 {
-		return wrong("params.zones", "missing")
-	}
-	seen := map[unit.Team]bool{}
-	for i, t := range p.Teams {
-		field := fmt.Sprintf("params.teams[%d]", i)
-		if t.Name == "" || seen[t.Name] {
-			return wrong(field+".name", "%q is missing or used twice", t.Name)
-		}
-		seen[t.Name] = true
-		for _, n := range []number{{"cpus", t.CPUs}, {"cpus_max", t.CPUsMax}, {"gpus", t.GPUs}, {"gpus_max", t.GPUsMax}} {
-			if !(n.value >= 0) || math.IsInf(n.value, 0) {
-				return wrong(field+"."+n.field, "%v is not an amount", n.value)
-			}
-		}
-	}
-	return p.checkNumbers()
-}
-
-type number struct {
-	field string
-	value float64
-}
-
-// leastValueKB holds the record of any job, with a part of its tasks.
-const leastValueKB = 1
-
-// checkNext checks the limits to come.
-func (s State) checkNext() error {
-	if s.Next == nil {
-		return nil
-	}
-	for _, n := range []number{{"write_rps", s.Next.WriteRPS}, {"value_kb", s.Next.ValueKB}, {"txn_ops", float64(s.Next.TxnOps)}} {
-		if !(n.value > 0) || math.IsInf(n.value, 0) {
-			return wrong("params.state.next."+n.field, "%v is not a number above 0", n.value)
-		}
-	}
-	if s.Next.ValueKB < leastValueKB {
-		return wrong("params.state.next.value_kb", "%v holds no job: at least %d", s.Next.ValueKB, leastValueKB)
-	}
-	return nil
-}
-
-func (p *Params) checkNumbers() error {
-	for _, n := range []number{
-		{"workers.report_s", p.Workers.ReportS}, {"workers.lease_s", p.Workers.LeaseS},
-		{"workers.cancel_s", p.Workers.CancelS}, {"state.rps", p.State.RPS},
-		{"state.write_rps", p.State.WriteRPS}, {"state.value_kb", p.State.ValueKB},
-		{"state.txn_ops", float64(p.State.TxnOps)}, {"cloud.rps", p.Cloud.RPS},
-		{"machine_limits.cpu", p.MachineLimits.CPU}, {"machine_limits.mem_mb", p.MachineLimits.MemMB},
-		{"machine_limits.max_sockets", float64(p.MachineLimits.MaxSockets)},
-	} {
-		if !(n.value > 0) || math.IsInf(n.value, 0) {
-			return wrong("params."+n.field, "%v is not a number above 0", n.value)
-		}
-	}
-	for _, n := range []number{{"workers.gang_wait_s", p.Workers.GangWaitS}, {"workers.gang_peer_s", p.Workers.GangPeerS}} {
-		if !(n.value >= 0) || math.IsInf(n.value, 0) {
-			return wrong("params."+n.field, "%v is not a duration", n.value)
-		}
-	}
-	if err := p.State.checkNext(); err != nil {
-		return err
-	}
-	if p.Workers.LeaseS <= 2*p.Workers.ReportS {
-		return wrong("params.workers.lease_s", "%v leaves no room for a lost report (report_s %v)", p.Workers.LeaseS, p.Workers.ReportS)
-	}
-	if !(p.Cloud.ListLagS >= 0) {
-		return wrong("params.cloud.list_lag_s", "%v is not a duration", p.Cloud.ListLagS)
-	}
-	return nil
-}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -64,6 +64,12 @@
 		"params.state.next.txn_ops":         params("state", "next", map[string]any{"write_rps": 15.0, "value_kb": 2.0}),
 		"params.state.next.write_rps":       params("state", "next", map[string]any{"write_rps": -1.0, "value_kb": 2.0, "txn_ops": 4}),
 		"params.state.next":                 params("state", "next", 7),
+		"params.zones[1]":                   func(m map[string]any) { m["params"].(map[string]any)["zones"] = []any{"a", "a"} },
+		"params.clock_error_ms":             func(m map[string]any) { m["params"].(map[string]any)["clock_error_ms"] = -1 },
+		"params.workers.cancel_s":           params("workers", "cancel_s", 27),
+		"params.state.value_kb":             params("state", "value_kb", 1e300),
+		"params.state.write_rps":            params("state", "write_rps", 0),
+		"params.cloud.rps":                  params("cloud", "rps", 1e12),
 	} {
 		_, err := Read(strings.NewReader(settings(t, change)))
 		var fe *FieldError
@@ -73,6 +79,23 @@
 			t.Errorf("%s: more than one line: %q", field, err)
 		}
 	}
+	for what, workers := range map[string]map[string]any{
+		"room for a lost report": {"report_s": 5.0, "lease_s": 9.0, "cancel_s": 52.0},
+		"room for a takeover":    {"report_s": 1.0, "lease_s": 3.0, "cancel_s": 52.0},
+		"no longer than lease_s": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 8.0},
+	} {
+		_, err := Read(strings.NewReader(settings(t, func(m map[string]any) { m["params"].(map[string]any)["workers"] = workers })))
+		if err == nil || !strings.Contains(err.Error(), what) {
+			t.Errorf("%v: %v, want %q", workers, err, what)
+		}
+	}
+	for _, sockets := range []any{1e18, -1, 0} {
+		_, err := Read(strings.NewReader(settings(t, params("machine_limits", "max_sockets", sockets))))
+		var fe *FieldError
+		if !errors.As(err, &fe) || !strings.Contains(fe.Field, "max_sockets") {
+			t.Errorf("%v sockets: %v", sockets, err)
+		}
+	}
 	for _, text := range []string{"", "[]", "{", "null"} {
 		if _, err := Read(strings.NewReader(text)); err == nil {
 			t.Errorf("%q was taken", text)
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -185,10 +186,19 @@
 	return out, nil
 }
 
+// maxLabel bounds the name of a machine type: records and submissions name it.
+const maxLabel = 128
+
+// usable tells whether the cloud describes a machine that something can run on.
+func (f *wireFlavor) usable() bool {
+	return f.Label != "" && len(f.Label) <= maxLabel && f.CPUs > 0 && f.MemoryGB > 0 && f.Accelerators >= 0 &&
+		!math.IsInf(f.CPUs+f.MemoryGB+f.Accelerators, 0)
+}
+
 func typesOf(frames []wireFlavor) []*fleet.Type {
 	var out []*fleet.Type
 	for _, f := range frames {
-		if f.Label == "" || !(f.CPUs > 0) || !(f.MemoryGB > 0) {
+		if !f.usable() {
 			continue
 		}
 		out = append(out, &fleet.Type{Name: unit.MachineType(f.Label),
