--- a/internal/controller/cancelgap_test.go
+++ b/internal/controller/cancelgap_test.go
@@ -50,8 +50,8 @@
 
 // play plays the gap. Jobs are cancelled all along, and the outage outlasts the
 // time that a cancelled job has. The rules are checked at every change.
-func (g gap) play(t *testing.T, seed uint64) {
-	s := newSim(t, seed)
+func (g gap) play(t *testing.T, seed uint64, w config.Workers) {
+	s := newSimWith(t, seed, w)
 	small := batch
 	small.Tasks = 2
 	for i := range 12 {
@@ -101,13 +101,28 @@
 				g.refused, g.outage = refused, outage
 				t.Run(fmt.Sprintf("%s/%v/%v", g.what, refused, outage), func(t *testing.T) {
 					t.Parallel()
-					g.play(t, 31)
+					g.play(t, 31, simSettings().Params.Workers)
 				})
 			}
 		}
 	}
 }
 
+// TestGapWithShortLeases is the same where leases are short: what may keep them, a
+// grant, lasts for nearly three of them.
+func TestGapWithShortLeases(t *testing.T) {
+	for _, kind := range gapKinds {
+		for outage := time.Duration(0); outage <= 12*time.Second; outage += 2 * *gapStep {
+			g := kind
+			g.refused, g.outage = 6*time.Second, outage
+			t.Run(fmt.Sprintf("%s/%v", g.what, outage), func(t *testing.T) {
+				t.Parallel()
+				g.play(t, 37, shortLeases)
+			})
+		}
+	}
+}
+
 // TestGapKeepsTheRest is the converse: through a gap whose outage a grant can
 // bridge, machines that hold nothing of a cancelled job lose nothing.
 func TestGapKeepsTheRest(t *testing.T) {
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -281,38 +281,54 @@
 	}},
 }
 
+// meetingTimes are the workers' times with which each meeting is played.
+var meetingTimes = []struct {
+	what    string
+	workers config.Workers
+}{
+	{"", simSettings().Params.Workers},
+	{"short leases/", shortLeases},
+}
+
 // TestMeetings brings each meeting of two troubles about on drawn days, and
 // checks every rule, that nothing is forgotten, and that nothing waits once the
 // troubles are over.
 func TestMeetings(t *testing.T) {
 	for i, m := range meetings {
-		for seed := range uint64(*meetSeeds) {
-			t.Run(fmt.Sprintf("%s/%d", m.what, seed), func(t *testing.T) {
-				t.Parallel()
-				s := newSim(t, 5000+100*uint64(i)+seed)
-				if seed%2 == 1 {
-					s.set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 40}, {Name: "blue", CPUsMax: 24}}
-					for _, n := range s.nodes {
-						s.crash(n, time.Millisecond)
+		for _, times := range meetingTimes {
+			for seed := range uint64(*meetSeeds) {
+				t.Run(fmt.Sprintf("%s%s/%d", times.what, m.what, seed), func(t *testing.T) {
+					t.Parallel()
+					s := newSimWith(t, 5000+100*uint64(i)+seed, times.workers)
+					if seed%2 == 1 {
+						s.set.Params.Teams = []config.Team{{Name: "red", CPUsMax: 40}, {Name: "blue", CPUsMax: 24}}
+						for _, n := range s.nodes {
+							s.crash(n, time.Millisecond)
+						}
 					}
-				}
-				s.load()
-				bound := batch
-				bound.Zone, bound.Class = "a", "bound"
-				pair := together
-				pair.Tasks, pair.Team, pair.Class = 2, "red", "pair"
-				for k := range 4 {
-					s.submit(100+3*k, bound, 20*sec)
-					s.submit(101+3*k, pair, 25*sec)
-					s.submit(102+3*k, batch, 60*sec)
-				}
-				s.run(5 * sec)
-				s.troubled = true
-				m.begin(s)
-				s.run(150 * sec)
-				s.troubled = false
-				s.finish()
-			})
+					s.playMeeting(m.begin)
+				})
+			}
 		}
 	}
 }
+
+// playMeeting submits jobs of each kind, lets the troubles come, and ends the day.
+func (s *sim) playMeeting(begin func(*sim)) {
+	s.load()
+	bound := batch
+	bound.Zone, bound.Class = "a", "bound"
+	pair := together
+	pair.Tasks, pair.Team, pair.Class = 2, "red", "pair"
+	for k := range 4 {
+		s.submit(100+3*k, bound, 20*sec)
+		s.submit(101+3*k, pair, 25*sec)
+		s.submit(102+3*k, batch, 60*sec)
+	}
+	s.run(5 * sec)
+	s.troubled = true
+	begin(s)
+	s.run(150 * sec)
+	s.troubled = false
+	s.finish()
+}
--- a/internal/controller/shortlease_test.go
+++ b/internal/controller/shortlease_test.go
@@ -15,6 +15,9 @@
 // newSimWith returns a sim whose workers have other times.
 func newSimWith(t *testing.T, seed uint64, w config.Workers) *sim {
 	s := newSim(t, seed)
+	if w == s.set.Params.Workers {
+		return s
+	}
 	s.set.Params.Workers = w
 	for _, n := range s.nodes {
 		s.start(n)
