--- a/internal/controller/ask.go
+++ b/internal/controller/ask.go
@@ -99,7 +99,7 @@
 		n.log.Debug("leader not reached", "leader", leader, "err", err)
 	}
 	if cancelJob {
-		return n.relayAsk(ctx, id)
+		return n.relayCancel(ctx, id)
 	}
 	return userapi.Told{Outcome: userapi.NoLeader}
 }
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -19,6 +19,7 @@
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/mesh"
 	"badgerbay/internal/policy"
+	"badgerbay/internal/relay"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
@@ -69,8 +70,8 @@
 
 	kept       atomic.Bool  // the machine types are stored
 	quietSince atomic.Int64 // see delegation.Keeper
-	relays     relayedWorkers
-	relayOut   chan relayItem
+	router     relay.Router
+	relayOut   chan relay.Item
 	meshFailed sync.Map // peer to the Instant of its last failure
 }
 
@@ -89,7 +90,7 @@
 		worker: &http.Client{Transport: workerTransport(sockets(set, idleShare)), Timeout: doTimeout},
 		doing:  make(chan struct{}, sockets(set, doShare)),
 		stop:   make(chan error, 1),
-		inbox:  make(chan Input, mostQueued(set)), relayOut: make(chan relayItem, mostQueued(set))}
+		inbox:  make(chan Input, mostQueued(set)), relayOut: make(chan relay.Item, mostQueued(set))}
 	n.health.hint.Store("")
 	n.pace = userapi.NewRetryPacer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"testing"
 	"time"
 
@@ -14,71 +12,13 @@
 	"badgerbay/internal/handover"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/mesh"
+	"badgerbay/internal/relay"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/wire"
 )
 
-// TestWorkersThatComeBackAreRelayed: a worker is sent to the leader first; one
-// that comes back soon could not reach it, and is relayed for a while.
-func TestWorkersThatComeBackAreRelayed(t *testing.T) {
-	d := &relayedWorkers{}
-	now := unit.Instant(time.Hour)
-	works := func() bool { return true }
-	if !d.direct(now, "host-1", "n1", works) {
-		t.Fatal("relayed at first sight")
-	}
-	if d.direct(now.Add(5*time.Second), "host-1", "n1", works) {
-		t.Error("sent to a leader that it could not reach")
-	}
-	if d.direct(now.Add(30*time.Second), "host-1", "n1", works) {
-		t.Error("not relayed for long enough")
-	}
-	if !d.direct(now.Add(60*time.Second), "host-1", "n1", works) {
-		t.Error("never sent to the leader again")
-	}
-	if d.direct(now.Add(62*time.Second), "host-1", "n1", works) {
-		t.Error("sent there twice in a row")
-	}
-	if !d.direct(now.Add(63*time.Second), "host-1", "n2", works) {
-		t.Error("relayed to a new leader that may be in reach")
-	}
-}
-
-// TestBatchFitsAValue: however many workers are cut off, a batch stays below
-// the size of a value, and who does not fit goes with the next.
-func TestBatchFitsAValue(t *testing.T) {
-	b := newBench(t)
-	var queue []relayItem
-	for i := range 200 {
-		r := &fleet.Report{Machine: unit.MachineID(fmt.Sprintf("host-%06d", i)), Addr: "10.1.0.1:9000", Type: "m", Zone: "a", Session: 1, Tally: 1}
-		for k := range unit.TaskIndex(8) {
-			r.Entries = append(r.Entries, fleet.Entry{Task: unit.TaskID{Job: "wk-000001", Index: 2 * k}, Attempt: unit.Attempt(100 + k), State: "running"})
-		}
-		queue = append(queue, relayItem{report: r, until: b.clock.now.Add(time.Second)})
-	}
-	batch, sent, rest := b.n.batch("id", "", queue)
-	data, err := json.Marshal(batch)
-	if err != nil {
-		t.Fatal(err)
-	}
-	value, err := msgpack.Marshal(batch)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got, err := mesh.ExpandBatch(value); err != nil || len(got.Reports) != len(sent) {
-		t.Errorf("%d reports come through, %v", len(got.Reports), err)
-	}
-	if len(data) > b.n.set.Params.State.ValueBytes() || len(sent) == 0 || len(sent)+len(rest) != 200 {
-		t.Errorf("%d bytes, %d sent, %d left", len(data), len(sent), len(rest))
-	}
-	b.clock.now = b.clock.now.Add(time.Minute)
-	if _, sent, rest := b.n.batch("id", "", queue); len(sent)+len(rest) != 0 {
-		t.Error("reports that nobody waits for any more are sent")
-	}
-}
-
 // TestLeaderServesABatch: the answers to a cut-off node's batch are written
 // under the guard of the epoch.
 func TestLeaderServesABatch(t *testing.T) {
@@ -100,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data}, answeredBatches{})
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data}, relay.Answered{})
 	item, _ := b.n.store.Get(context.Background(), mesh.DownPrefix+"n1")
 	a, err := mesh.ExpandAnswers(item.Value)
 	if err != nil || a.ID != "b-1" || len(a.Reports) != 1 || a.Reports[0].Code != 200 || a.Reports[0].Epoch != 77 {
@@ -110,7 +50,7 @@
 		t.Errorf("an unknown job was answered: %+v", a.Asks)
 	}
 	// What can't be read is counted, and answered by nothing.
-	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: []byte{0xa3, 'n', 'o', '!'}}, answeredBatches{})
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: []byte{0xa3, 'n', 'o', '!'}}, relay.Answered{})
 	if bad := testutil.ToFloat64(b.n.met.BadBatches); bad != 1 {
 		t.Errorf("%v bad batches counted, want 1", bad)
 	}
@@ -120,7 +60,7 @@
 	// Once another leads, nothing more is written.
 	b.n.store.Commit(context.Background(), holder)
 	before := item.Stamp
-	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data}, answeredBatches{})
+	b.n.serveUp(context.Background(), "n1", statestore.Change{Set: mesh.UpPrefix + "n1", Value: data}, relay.Answered{})
 	if item, _ := b.n.store.Get(context.Background(), mesh.DownPrefix+"n1"); item.Stamp != before {
 		t.Error("a deposed leader answered")
 	}
@@ -181,7 +121,7 @@
 // it arrives; without a known answer it counts for nothing.
 func TestRelayedNodesAttest(t *testing.T) {
 	b := newBench(t)
-	answered := answeredBatches{}
+	answered := relay.Answered{}
 	data, err := wire.Squeeze(mesh.Batch{ID: "x", Node: "n1"})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/controller/relaydown.go
+++ b/internal/controller/relaydown.go
@@ -4,21 +4,20 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/mesh"
+	"badgerbay/internal/relay"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/userapi"
-	"badgerbay/internal/wire"
 )
 
 // relayDown serves the batches of cut-off nodes while this node leads. The
 // answers are guarded by the epoch like every write of the leader.
 func (n *Node) relayDown(ctx context.Context, epoch unit.Epoch, since unit.Version) {
-	answered := answeredBatches{}
+	answered := relay.Answered{}
 	for n.leadsSince(epoch) && ctx.Err() == nil {
 		log, next, err := n.store.Watch(ctx, mesh.UpPrefix, since, watchHold)
 		if errors.Is(err, statestore.ErrCompacted) {
@@ -52,27 +51,14 @@
 	return changes, revision, err
 }
 
-// answeredBatches holds, for each node, the last batch that was answered through
-// the state service, and when the answers left.
-type answeredBatches map[string]struct {
-	id string
-	at unit.Instant
-}
-
-// mostQuietMs bounds what a node may say of its quiet time: some decades.
-const mostQuietMs = 1 << 40
-
-// attest takes in what a node that is out of reach over the mesh says of its
-// grant. It said so after it had seen the answers that it names, so that counts
-// from when these left; a batch itself may be long on its way.
-func (n *Node) attest(ctx context.Context, answered answeredBatches, b *mesh.Batch) {
-	if last := answered[b.Node]; b.Echo != "" && last.id == b.Echo && b.QuietMs >= 0 && b.QuietMs < mostQuietMs {
-		n.post(ctx, PeerSaid{Node: b.Node, Sent: last.at,
-			Said: delegation.Said{Quiet: time.Duration(b.QuietMs) * time.Millisecond}, Form: b.Form})
+// attest takes in what a node that is out of reach over the mesh says of its grant.
+func (n *Node) attest(ctx context.Context, answered relay.Answered, b *mesh.Batch) {
+	if a, ok := answered.Attested(b); ok {
+		n.post(ctx, PeerSaid{Node: b.Node, Sent: a.Since, Said: delegation.Said{Quiet: a.Quiet}, Form: b.Form})
 	}
 }
 
-func (n *Node) serveUp(ctx context.Context, node string, c statestore.Change, answered answeredBatches) {
+func (n *Node) serveUp(ctx context.Context, node string, c statestore.Change, answered relay.Answered) {
 	if node == n.set.Label {
 		return
 	}
@@ -85,20 +71,13 @@
 	b.Node = node
 	n.attest(ctx, answered, b)
 	answers := n.serveBatch(ctx, b)
-	value, err := wire.Squeeze(answers)
-	for err == nil && len(answers.Reports) > 0 && len(value) > n.relayRoom() {
-		// What does not fit is answered by the next batch.
-		answers.Reports = answers.Reports[:len(answers.Reports)/2]
-		value, err = wire.Squeeze(answers)
-	}
+	value, err := relay.SqueezeAnswers(answers, n.relayLimit())
 	if err != nil {
-		n.log.Error("answers can't be encoded", "err", err)
+		n.log.Error("batch can't be answered", "node", node, "err", err)
 		return
 	}
 	n.met.Relayed.Add(float64(len(answers.Reports)))
-	last := answered[node]
-	last.id, last.at = b.ID, n.clock.Now()
-	answered[node] = last
+	answered.Note(node, b.ID, n.clock.Now())
 	n.budget.TakeWrites(n.clock.Now(), statestore.UseLead, 1)
 	_, err = n.store.Commit(ctx, statestore.Txn{
 		Guards: []statestore.Guard{{Key: leadership.Key, Stamp: unit.Version(n.view.Load().epoch)}},
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -59,7 +59,7 @@
 	// filter that refuses connections between nodes lets workers through, and
 	// relaying them all took the changes that submissions need.
 	works := func() bool { return n.meshWorks(leader) || n.peers.Refused(leader) }
-	if works() && n.relays.direct(n.clock.Now(), r.Machine, leader, works) {
+	if works() && n.router.Direct(n.clock.Now(), r.Machine, leader, works) {
 		return reply
 	}
 	return n.relayReport(ctx, leader, r)
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/mesh"
+	"badgerbay/internal/unit"
+)
+
+// TestWorkersThatComeBackAreRelayed: a worker is sent to the leader first; one
+// that comes back soon could not reach it, and is relayed for a while.
+func TestWorkersThatComeBackAreRelayed(t *testing.T) {
+	d := &Router{}
+	now := unit.Instant(time.Hour)
+	works := func() bool { return true }
+	if !d.Direct(now, "host-1", "n1", works) {
+		t.Fatal("relayed at first sight")
+	}
+	if d.Direct(now.Add(5*time.Second), "host-1", "n1", works) {
+		t.Error("sent to a leader that it could not reach")
+	}
+	if d.Direct(now.Add(30*time.Second), "host-1", "n1", works) {
+		t.Error("not relayed for long enough")
+	}
+	if !d.Direct(now.Add(60*time.Second), "host-1", "n1", works) {
+		t.Error("never sent to the leader again")
+	}
+	if d.Direct(now.Add(62*time.Second), "host-1", "n1", works) {
+		t.Error("sent there twice in a row")
+	}
+	if !d.Direct(now.Add(63*time.Second), "host-1", "n2", works) {
+		t.Error("relayed to a new leader that may be in reach")
+	}
+}
+
+// TestBatchFitsAValue: however many workers are cut off, a batch stays below
+// the size of a value, and who does not fit goes with the next.
+func TestBatchFitsAValue(t *testing.T) {
+	const valueBytes = 8192
+	now := unit.Instant(time.Hour)
+	var queue []Item
+	for i := range 200 {
+		r := &fleet.Report{Machine: unit.MachineID(fmt.Sprintf("host-%06d", i)), Addr: "10.1.0.1:9000", Type: "m", Zone: "a", Session: 1, Tally: 1}
+		for k := range unit.TaskIndex(8) {
+			r.Entries = append(r.Entries, fleet.Entry{Task: unit.TaskID{Job: "wk-000001", Index: 2 * k}, Attempt: unit.Attempt(100 + k), State: "running"})
+		}
+		queue = append(queue, NewReport(r, now.Add(time.Second)))
+	}
+	batch, err := NewBatch(now, Header{ID: "id"}, queue, Limit(valueBytes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := json.Marshal(batch.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := msgpack.Marshal(batch.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := mesh.ExpandBatch(value); err != nil || len(got.Reports) != len(batch.Sent) {
+		t.Errorf("%d reports come through, %v", len(got.Reports), err)
+	}
+	if len(data) > valueBytes || len(batch.Sent) == 0 || len(batch.Sent)+len(batch.Rest) != 200 {
+		t.Errorf("%d bytes, %d sent, %d left", len(data), len(batch.Sent), len(batch.Rest))
+	}
+	late, err := NewBatch(now.Add(time.Minute), Header{ID: "id"}, queue, Limit(valueBytes))
+	if err != nil || len(late.Sent)+len(late.Rest) != 0 {
+		t.Error("reports that nobody waits for any more are sent")
+	}
+}
