--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -9,33 +9,39 @@
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
+	"badgerbay/internal/takeover"
 	"badgerbay/internal/unit"
 )
 
 func (n *Node) loadAll(ctx context.Context, epoch unit.Epoch) {
-	jobs, since, err := n.store.List(ctx, checkpoint.KeyPrefix)
-	var rounds, rest []statestore.Item
-	var agreed statestore.Item
-	if n.note(err) == nil {
-		rounds, _, err = n.store.List(ctx, round.KeyPrefix)
-	}
-	if n.note(err) == nil {
-		rest, _, err = n.store.List(ctx, parts.Prefix)
-	}
-	if n.note(err) == nil {
-		agreed, err = n.store.Get(ctx, rollout.Key)
-	}
+	stored, since, err := n.readStored(ctx)
 	if n.note(err) != nil {
 		n.log.Warn("records can't be read", "epoch", epoch, "err", err)
 		n.pause(ctx, retryUnsure)
 	}
-	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Jobs: jobs, Rounds: rounds, Parts: rest, Agreed: agreed})
+	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Stored: stored})
 	if err == nil {
 		go n.relayDown(ctx, epoch, since)
 		n.watchJobs(ctx, epoch, since)
 	}
 }
 
+// readStored reads all records, and the revision from which changes of jobs are to
+// be watched.
+func (n *Node) readStored(ctx context.Context) (s takeover.Stored, since unit.Version, err error) {
+	if s.Jobs, since, err = n.store.List(ctx, checkpoint.KeyPrefix); err != nil {
+		return s, 0, err
+	}
+	if s.Rounds, _, err = n.store.List(ctx, round.KeyPrefix); err != nil {
+		return s, 0, err
+	}
+	if s.Parts, _, err = n.store.List(ctx, parts.Prefix); err != nil {
+		return s, 0, err
+	}
+	s.Agreed, err = n.store.Get(ctx, rollout.Key)
+	return s, since, err
+}
+
 // watchJobs finds the jobs whose notice was lost on its way, while this node
 // leads. It looks at most once a second, so that the leader's own writes do
 // not come back one by one.
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -10,6 +10,7 @@
 	"badgerbay/internal/rental"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/statestore"
+	"badgerbay/internal/takeover"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/userapi"
 )
@@ -28,11 +29,9 @@
 	Lead struct{ In leadership.Input }
 	// Loaded answers LoadAll.
 	Loaded struct {
-		Epoch        unit.Epoch
-		OK           bool
-		Jobs, Rounds []statestore.Item
-		Parts        []statestore.Item // of job records
-		Agreed       statestore.Item   // the form of records that was agreed on
+		Epoch  unit.Epoch
+		OK     bool
+		Stored takeover.Stored
 	}
 	// JobRead answers ReadJob.
 	JobRead struct {
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/takeover"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/userapi"
 )
@@ -37,8 +38,7 @@
 	}
 	j := t.jobs[in.Job]
 	if j == nil {
-		t.addJob(now, in.Job, in.Item, func(n int) []byte { return in.Parts[n] })
-		t.c.log.Info("job taken in", "job", in.Job, "class", t.jobs[in.Job].Spec.Class, "team", t.jobs[in.Job].Spec.Team, "tasks", t.jobs[in.Job].Spec.Tasks, "epoch", t.epoch)
+		t.takeIn(now, in)
 		return
 	}
 	if j.Writing || in.Item.Stamp <= j.Version {
@@ -54,6 +54,18 @@
 	j.Touch(now)
 }
 
+// takeIn takes in a job that was stored since this leader read the records.
+func (t *term) takeIn(now unit.Instant, in JobRead) {
+	stored, err := takeover.ReadJob(in.Job, in.Item, func(n int) []byte { return in.Parts[n] })
+	if err != nil {
+		t.unreadable(takeover.Unreadable{Key: in.Item.Key, Err: err})
+		return
+	}
+	t.addJob(now, stored)
+	spec := &stored.Record.Spec
+	t.c.log.Info("job taken in", "job", in.Job, "class", spec.Class, "team", spec.Team, "tasks", spec.Tasks, "epoch", t.epoch)
+}
+
 // storedMeanwhile takes in what a record says, read without its parts, that a write
 // of this leader has stored.
 func (t *term) storedMeanwhile(now unit.Instant, j *checkpoint.Job, r *checkpoint.Record) {
--- a/internal/controller/rollout_test.go
+++ b/internal/controller/rollout_test.go
@@ -183,7 +183,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		tm.addJob(g.now, id, statestore.Item{Key: checkpoint.Key(id), Value: data, Stamp: 5}, nil)
+		tm.takeIn(g.now, JobRead{Job: id, OK: true, Item: statestore.Item{Key: checkpoint.Key(id), Value: data, Stamp: 5}})
 	}
 	tm.jobs["wk-000001"].Cancel(g.now)
 	tm.jobs["wk-000002"].Cancel(g.now.Add(time.Millisecond))
--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -10,6 +10,7 @@
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
+	"badgerbay/internal/takeover"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/userapi"
 	"badgerbay/internal/wire"
@@ -71,7 +72,7 @@
 		t.Fatal(err)
 	}
 	items := []statestore.Item{{Key: "job/wk-000001", Value: data, Stamp: 3}}
-	for _, e := range g.core.Step(g.now, Loaded{Epoch: 10, OK: true, Jobs: items}) {
+	for _, e := range g.core.Step(g.now, Loaded{Epoch: 10, OK: true, Stored: takeover.Stored{Jobs: items}}) {
 		if stop, ok := e.(Stop); ok && errors.Is(stop.Err, checkpoint.ErrSchema) {
 			return
 		}
@@ -95,8 +96,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g.step(Loaded{Epoch: tm.epoch, OK: true, Rounds: []statestore.Item{
-		{Key: "round/5", Value: whole, Stamp: 11}, {Key: "round/6", Value: torn, Stamp: 12}}})
+	g.step(Loaded{Epoch: tm.epoch, OK: true, Stored: takeover.Stored{Rounds: []statestore.Item{
+		{Key: "round/5", Value: whole, Stamp: 11}, {Key: "round/6", Value: torn, Stamp: 12}}}})
 	if tm.ring.Version(6) != 12 {
 		t.Errorf("the slot is written under version %d", tm.ring.Version(6))
 	}
@@ -192,8 +193,8 @@
 		}
 		rounds = append(rounds, statestore.Item{Key: tm.ring.Key(r.No), Value: value, Stamp: 20 + unit.Version(r.No)})
 	}
-	g.core.Step(g.now, Loaded{Epoch: tm.epoch, OK: true, Rounds: rounds,
-		Jobs: []statestore.Item{{Key: "job/wk-000001", Value: job, Stamp: 9}}})
+	g.core.Step(g.now, Loaded{Epoch: tm.epoch, OK: true, Stored: takeover.Stored{Rounds: rounds,
+		Jobs: []statestore.Item{{Key: "job/wk-000001", Value: job, Stamp: 9}}}})
 	j := tm.jobs["wk-000001"]
 	if p := j.Live[0]; p == nil || p.Machine != "m1" || p.Attempt != 5 {
 		t.Errorf("task 0: %+v", p)
@@ -318,3 +319,14 @@
 	}
 	return out
 }
+
+// TestUnreadableJobIsPassedOver: the record of a job that turns up while this node
+// leads, and can't be read, is counted and left alone. The leader panicked.
+func TestUnreadableJobIsPassedOver(t *testing.T) {
+	g := newGrown(t, 0)
+	item := statestore.Item{Key: "job/wk-000001", Value: []byte{0xc1}, Stamp: 9}
+	g.step(JobRead{Job: "wk-000001", OK: true, Item: item})
+	if g.core.term == nil || len(g.core.term.jobs) != 0 {
+		t.Error("taken in, or the term is over")
+	}
+}
--- a/internal/controller/sim_nodes_test.go
+++ b/internal/controller/sim_nodes_test.go
@@ -16,6 +16,7 @@
 	"badgerbay/internal/parts"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/statestore"
+	"badgerbay/internal/takeover"
 	"badgerbay/internal/unit"
 )
 
@@ -171,7 +172,7 @@
 			rounds, _, err2 := s.state.List(round0)
 			rest, _, _ := s.state.List(parts.Prefix)
 			agreed, _ := s.state.Get(rollout.Key)
-			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && err2 == nil && !s.stateless(n), Jobs: jobs, Rounds: rounds, Parts: rest, Agreed: agreed})
+			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && err2 == nil && !s.stateless(n), Stored: takeover.Stored{Jobs: jobs, Rounds: rounds, Parts: rest, Agreed: agreed}})
 		})
 	case ReadJob:
 		s.after(s.stateLatency(), func() {
--- a/internal/controller/stage_test.go
+++ b/internal/controller/stage_test.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tm.addJob(g.now, "wk-000001", statestore.Item{Key: "job/wk-000001", Value: data, Stamp: 5}, nil)
+	tm.takeIn(g.now, JobRead{Job: "wk-000001", OK: true, Item: statestore.Item{Key: "job/wk-000001", Value: data, Stamp: 5}})
 	tm.jobs["wk-000001"].Cancel(g.now)
 	guards := map[unit.Version]bool{}
 	version := unit.Version(100)
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -1,18 +1,13 @@
 package controller
 
 import (
-	"errors"
 	"fmt"
-	"strings"
-	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/checkpoint"
-	"badgerbay/internal/delegation"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
+	"badgerbay/internal/takeover"
 	"badgerbay/internal/unit"
 )
 
@@ -25,44 +20,21 @@
 		t.c.emit(LoadAll{Epoch: t.epoch})
 		return
 	}
-	t.formStamp = in.Agreed.Stamp
-	var agreed rollout.Agreed
-	if in.Agreed.Stamp != 0 {
-		if err := msgpack.Unmarshal(in.Agreed.Value, &agreed); err != nil {
-			t.unreadable(in.Agreed.Key, err)
-		}
-	}
-	t.cluster = rollout.New(t.c.set.PeerLabels(), agreed.Form)
-	parts := make(map[string][]byte, len(in.Parts))
-	for _, item := range in.Parts {
-		parts[item.Key] = item.Value
+	records := takeover.Read(in.Stored, stageKey)
+	for _, u := range records.Unreadable {
+		t.unreadable(u)
 	}
-	for _, item := range in.Jobs {
-		id := unit.JobID(strings.TrimPrefix(item.Key, checkpoint.KeyPrefix))
-		t.addJob(now, id, item, func(n int) []byte { return parts[checkpoint.PartKey(id, n)] })
+	t.formStamp, t.stage.stamp = records.AgreedVersion, records.StageVersion
+	t.cluster = rollout.New(t.c.set.PeerLabels(), records.Agreed.Form)
+	for _, j := range records.Jobs {
+		t.addJob(now, j)
 	}
-	var stored []round.Stored
-	var lost []statestore.Item
-	for _, item := range in.Parts {
-		if item.Key == stageKey {
-			t.stage.stamp = item.Stamp
-		}
-	}
-	for _, item := range in.Rounds {
-		r, err := round.Decode(item.Value, func(n int) []byte { return parts[round.PartKey(item.Key, n)] })
-		if err != nil {
-			t.unreadable(item.Key, err)
-			lost = append(lost, item)
-			continue
-		}
-		stored = append(stored, round.Stored{Key: item.Key, Record: r, Version: item.Stamp})
-	}
-	ring, open := round.Restore(t.c.pol.RingSlots, stored)
+	ring, open := round.Restore(t.c.pol.RingSlots, records.Rounds)
 	t.ring = ring
-	for _, item := range lost {
+	for _, item := range records.LostRounds {
 		t.ring.Skip(item.Key, item.Stamp)
 	}
-	t.lostRounds = len(lost) > 0
+	t.lostRounds = len(records.LostRounds) > 0
 	for _, r := range open {
 		t.replay(now, r)
 	}
@@ -72,28 +44,24 @@
 }
 
 // unreadable handles a record that can't be read. One of a later schema stops
-// the node: it must not decide without knowing what a newer one has decided.
-func (t *term) unreadable(key string, err error) {
+// the node.
+func (t *term) unreadable(u takeover.Unreadable) {
 	t.c.met.Unreadable.Inc()
-	t.c.log.Error("record can't be read", "key", key, "err", err, "epoch", t.epoch)
-	if errors.Is(err, checkpoint.ErrSchema) || errors.Is(err, round.ErrSchema) {
-		t.c.emit(Stop{Err: fmt.Errorf("%s: %w; run the newer program", key, err)})
+	t.c.log.Error("record can't be read", "key", u.Key, "err", u.Err, "epoch", t.epoch)
+	if u.IsLater() {
+		t.c.emit(Stop{Err: fmt.Errorf("%s: %w; run the newer program", u.Key, u.Err)})
 	}
 }
 
 // addJob takes in a job record with the placements it holds.
-func (t *term) addJob(now unit.Instant, id unit.JobID, item statestore.Item, part func(int) []byte) {
-	r, err := checkpoint.DecodeWhole(item.Value, part)
-	if err != nil {
-		t.unreadable(item.Key, err)
-		return
-	}
-	j := checkpoint.NewJob(id, r, item.Stamp, now)
-	t.jobs[id] = j
+func (t *term) addJob(now unit.Instant, stored takeover.Job) {
+	r := stored.Record
+	j := checkpoint.NewJob(stored.ID, r, stored.Version, now)
+	t.jobs[j.ID] = j
 	if old := t.lastSpec[r.Spec.Class]; old == nil || r.Phase == checkpoint.Active {
 		t.lastSpec[r.Spec.Class] = &j.Spec
 	}
-	t.specSize[id] = statestore.JSONSize(&r.Spec)
+	t.specSize[j.ID] = statestore.JSONSize(&r.Spec)
 	for _, g := range r.Live {
 		t.restore(now, j, g)
 	}
@@ -151,54 +119,17 @@
 	})
 }
 
-// reconciled decides when placing may begin: nearly all machines with
-// placements have reported to us, or a report interval has passed and the
-// quarter by which reports may be late.
-// Among hundreds some are always silent, and what they hold counts as there.
+// reconciled lets placing begin once enough is known of what earlier leaders did.
 func (t *term) reconciled(now unit.Instant) {
 	if t.ready {
 		return
 	}
-	if t.lostRounds && now.Sub(t.acquired) < t.longestPlacement() {
-		return
-	}
-	interval := t.c.set.Params.Workers.ReportInterval()
-	// Where nothing was ever placed or rented, and the cloud lists nothing,
-	// nobody is left to wait for.
-	empty := t.listRead && t.ring.Fresh() && t.fleet.Len() == 0
-	if now.Sub(t.acquired) < interval+interval/4 && !t.nearlyAllHeard() && !empty {
+	gate := takeover.Gate{Acquired: t.acquired, Epoch: t.epoch, Workers: t.c.set.Params.Workers,
+		LostRounds: t.lostRounds, Untouched: t.listRead && t.ring.Fresh() && t.fleet.Len() == 0}
+	if !gate.Open(now, t.fleet.Machines()) {
 		return
 	}
 	t.ready, t.dirty = true, true
 	t.c.met.Recoveries.Inc()
 	t.c.log.Info("reconciled", "epoch", t.epoch, "machines", t.fleet.Len(), "after", now.Sub(t.acquired))
 }
-
-// longestPlacement is how long what an earlier leader started may run on a machine
-// that no report names, counted from the takeover: a lease that a grant has kept to
-// its end. Where a round can't be read nothing is placed before: a task of it may
-// run anywhere.
-func (t *term) longestPlacement() time.Duration {
-	const margin = 2 * time.Second
-	w := t.c.set.Params.Workers
-	return w.Lease() + delegation.Life(w) + margin
-}
-
-// silentPart: one machine in so many may be silent when placing begins.
-const silentPart = 20
-
-func (t *term) nearlyAllHeard() bool {
-	busy, silent, up := 0, 0, 0
-	for _, m := range t.fleet.Machines() {
-		if m.Up {
-			up++
-		}
-		if m.Busy() {
-			busy++
-			if !m.Up || m.Token < t.epoch {
-				silent++
-			}
-		}
-	}
-	return up > 0 && silent <= busy/silentPart
-}
--- /dev/null
+++ b/internal/takeover/gate.go
@@ -0,0 +1,63 @@
+package takeover
+
+import (
+	"time"
+
+	"badgerbay/internal/config"
+	"badgerbay/internal/delegation"
+	"badgerbay/internal/fleet"
+	"badgerbay/internal/unit"
+)
+
+// Gate decides when a new leader may place tasks: "reconcile before create".
+type Gate struct {
+	Acquired unit.Instant // the epoch
+	Epoch    unit.Epoch
+	Workers  config.Workers
+	// LostRounds: some round can't be read, so a task of it may run anywhere.
+	LostRounds bool
+	// Untouched: nothing was ever placed or rented, and the cloud lists nothing, so
+	// nobody is left to wait for.
+	Untouched bool
+}
+
+// silentPart: one machine in so many may be silent when placing begins. Among
+// hundreds some are always silent, and what they hold counts as there.
+const silentPart = 20
+
+// Open tells whether nearly all machines with placements have reported under the
+// epoch, or a report interval has passed and the quarter by which reports may be
+// late.
+func (g *Gate) Open(now unit.Instant, machines []*fleet.Machine) bool {
+	since := now.Sub(g.Acquired)
+	if g.LostRounds && since < g.longestPlacement() {
+		return false
+	}
+	interval := g.Workers.ReportInterval()
+	return since >= interval+interval/4 || g.Untouched || g.nearlyAllHeard(machines)
+}
+
+// longestPlacement is how long what an earlier leader started may run on a machine
+// that no report names, counted from the takeover: a lease that a grant has kept to
+// its end.
+func (g *Gate) longestPlacement() time.Duration {
+	const margin = 2 * time.Second
+	return g.Workers.Lease() + delegation.Life(g.Workers) + margin
+}
+
+func (g *Gate) nearlyAllHeard(machines []*fleet.Machine) bool {
+	busy, silent, up := 0, 0, 0
+	for _, m := range machines {
+		if m.Up {
+			up++
+		}
+		if !m.Busy() {
+			continue
+		}
+		busy++
+		if !m.Up || m.Token < g.Epoch {
+			silent++
+		}
+	}
+	return up > 0 && silent <= busy/silentPart
+}
