--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -17,7 +17,7 @@
 // TestBook: a connection finds room as long as another is missed less, and is
 // refused otherwise; strangers go before workers.
 func TestBook(t *testing.T) {
-	limiter := NewLimiter(Limits{All: 3, Patience: 10 * time.Second})
+	limiter := NewLimiter(Limits{All: 3, IdleTimeout: 10 * time.Second})
 	now := unit.Instant(time.Hour)
 	enter := func() (*Conn, *Conn) { return limiter.Open(now, func() {}) }
 	worker, _ := enter()
@@ -35,7 +35,7 @@
 		t.Error("who has said nothing must make room, before a worker that waits for its turn")
 	}
 	if v, _ := enter(); v != nil {
-		t.Error("a worker's connection was given up within its patience")
+		t.Error("a worker's connection was given up within its timeout")
 	}
 	now = now.Add(6 * time.Second)
 	first := limiter.waiting[Unidentified].Front().Value.(*Conn)
@@ -62,7 +62,7 @@
 		t.Fatal(err)
 	}
 	begun := time.Now()
-	limited := New(l, Limits{All: 40, Patience: time.Minute}, func() unit.Instant { return unit.Instant(time.Hour + time.Since(begun)) })
+	limited := New(l, Limits{All: 40, IdleTimeout: time.Minute}, func() unit.Instant { return unit.Instant(time.Hour + time.Since(begun)) })
 	kind := func(r *http.Request) Kind {
 		if r.URL.Path == "/agent/beat" {
 			return Worker
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -23,9 +23,9 @@
 // Limits bound the connections. Parts of All bind only under pressure.
 type Limits struct {
 	All int
-	// Patience is how long a connection whose owner is known may send nothing
+	// IdleTimeout is how long a connection whose owner is known may send nothing
 	// before it is closed to make room for another.
-	Patience time.Duration
+	IdleTimeout time.Duration
 }
 
 const (
@@ -35,9 +35,9 @@
 	// workersPart and usersPart leave a rest to those that have just come.
 	workersPart = 0.75
 	usersPart   = 0.15
-	// idlePatience is how long a connection may be open without a request
+	// newTimeout is how long a connection may be open without a request
 	// before it makes room for another.
-	idlePatience = time.Second
+	newTimeout = time.Second
 )
 
 // Conn is an open connection as the limiter knows it.
@@ -92,11 +92,11 @@
 // idlest is the connection that is missed least, or nil.
 func (l *Limiter) idlest(now unit.Instant) *Conn {
 	for _, k := range []Kind{Unidentified, Worker, User} {
-		patience := l.limits.Patience
+		timeout := l.limits.IdleTimeout
 		if k == Unidentified {
-			patience = idlePatience
+			timeout = newTimeout
 		}
-		if e := l.waiting[k].Front(); e != nil && now.Sub(e.Value.(*Conn).since) >= patience {
+		if e := l.waiting[k].Front(); e != nil && now.Sub(e.Value.(*Conn).since) >= timeout {
 			return e.Value.(*Conn)
 		}
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -104,7 +104,7 @@
 // or user.
 func frequent(in Input) bool {
 	switch in.(type) {
-	case Reported, DoDone, Asked, Noticed, JobRead, PeerAsked, PeerSaid:
+	case Reported, DoDone, Asked, Noticed, JobRead, PeerAsked, PeerStatus:
 		return true
 	}
 	return false
@@ -155,11 +155,11 @@
 		c.from = in.From
 	case PeerAsked:
 		c.peerAsked(now, in)
-	case PeerSaid:
-		c.keeper.Take(in.Sent, in.Said)
+	case PeerStatus:
+		c.keeper.Take(in.Sent, in.Status)
 		if c.term != nil {
-			c.term.ledger.Attest(in.Node, in.Sent, now, in.Said.Quiet)
-			c.term.cluster.Said(now, in.Node, in.Form)
+			c.term.ledger.Attest(in.Node, in.Sent, now, in.Status.IdleFor)
+			c.term.cluster.Heard(now, in.Node, in.Form)
 		}
 	case FlavorsDone:
 		c.flavors(in)
--- a/internal/controller/delegation.go
+++ b/internal/controller/delegation.go
@@ -75,40 +75,40 @@
 // peerAsked says what this node has done by its grant and, if it leads, grants
 // the one that asks the right to keep workers should it be cut off.
 func (c *Core) peerAsked(now unit.Instant, in PeerAsked) {
-	var said delegation.Said
+	var status delegation.Status
 	if c.term != nil && c.term.loaded && c.lead.Entitled(now) {
-		said = c.term.grant(c.lead.Epoch())
-		if said.Life > 0 {
-			said.Life = c.term.ledger.Grant(now, in.Node)
+		status = c.term.grant(c.lead.Epoch())
+		if status.Life > 0 {
+			status.Life = c.term.ledger.Grant(now, in.Node)
 		}
 	}
-	said.Quiet = c.keeper.Quiet(now)
-	c.emit(ReplyPeer{Ticket: in.Ticket, Said: said})
+	status.IdleFor = c.keeper.IdleFor(now)
+	c.emit(ReplyPeer{Ticket: in.Ticket, Status: status})
 }
 
 // grant is what the leader lets others do. Machines with tasks of cancelled
 // jobs are left out: those must be gone in time, whatever is cut. If their names
 // do not fit into a message, nothing is granted.
-func (t *term) grant(epoch unit.Epoch) delegation.Said {
-	s := delegation.Said{Epoch: epoch, Life: delegation.Life(t.c.set.Params.Workers)}
-	owing := map[unit.MachineID]bool{}
+func (t *term) grant(epoch unit.Epoch) delegation.Status {
+	s := delegation.Status{Epoch: epoch, Life: delegation.Life(t.c.set.Params.Workers)}
+	excluded := map[unit.MachineID]bool{}
 	for _, j := range t.jobs {
 		if j.Phase != checkpoint.Cancelled {
 			continue
 		}
 		for _, p := range j.Live {
-			owing[p.Machine] = true
+			excluded[p.Machine] = true
 		}
 	}
 	for _, m := range t.fleet.Machines() {
 		if m.StrayRuns() {
 			// No placement tells whose it is.
-			owing[m.ID] = true
+			excluded[m.ID] = true
 		}
 	}
-	s.Owing = slices.Collect(maps.Keys(owing))
-	if !mesh.NamesFit(s.Owing) {
-		s.Life, s.Owing = 0, nil
+	s.Excluded = slices.Collect(maps.Keys(excluded))
+	if !mesh.NamesFit(s.Excluded) {
+		s.Life, s.Excluded = 0, nil
 	}
 	return s
 }
--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -19,12 +19,12 @@
 		t.reach.Restart()
 		return false
 	}
-	heir := t.reach.Heir(now, t.fleet.Reporting(), t.c.handovers.Patience(now))
+	heir := t.reach.Heir(now, t.fleet.Reporting(), t.c.handovers.Delay(now))
 	if heir == "" {
 		return false
 	}
 	t.c.handovers.Note(now)
 	t.c.log.Info("giving leadership up: the workers do not reach this node", "heir", heir, "epoch", t.epoch)
-	t.c.leadStep(now, leadership.Resign{Rest: handover.Rest, Heir: heir})
+	t.c.leadStep(now, leadership.Resign{Cooldown: handover.Cooldown, Heir: heir})
 	return true
 }
--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -102,23 +102,23 @@
 	case a.Delegation == nil:
 		return fmt.Errorf("%s did not say", name)
 	}
-	said, err := a.Delegation.Unpack()
+	status, err := a.Delegation.Unpack()
 	if err != nil {
 		return err
 	}
-	n.post(ctx, PeerSaid{Node: name, Sent: sent, Said: said, Form: a.Delegation.Form})
+	n.post(ctx, PeerStatus{Node: name, Sent: sent, Status: status, Form: a.Delegation.Form})
 	return nil
 }
 
-// sayDelegation answers a peer that asks, or not at all if the core is overloaded.
-func (n *Node) sayDelegation(ctx context.Context, node string) *mesh.Delegation {
+// delegationStatus answers a peer that asks, or not at all if the core is overloaded.
+func (n *Node) delegationStatus(ctx context.Context, node string) *mesh.Delegation {
 	ticket := make(chan ReplyPeer, 1)
 	if !n.offer(PeerAsked{Ticket: ticket, Node: node}) {
 		return nil
 	}
 	select {
 	case r := <-ticket:
-		return mesh.PackDelegation(r.Said)
+		return mesh.PackDelegation(r.Status)
 	case <-ctx.Done():
 		return nil
 	}
--- a/internal/controller/large_test.go
+++ b/internal/controller/large_test.go
@@ -122,12 +122,12 @@
 		p := &checkpoint.Placement{Job: job, Task: unit.TaskIndex(i), Machine: g.machines[i].Machine, Session: 1, Attempt: 1}
 		g.core.term.fleet.Place(g.now, p)
 	}
-	said := g.core.term.grant(10)
-	if said.Life == 0 || len(said.Owing) != largeFleet {
-		t.Errorf("a grant of %v without %d machines", said.Life, len(said.Owing))
+	status := g.core.term.grant(10)
+	if status.Life == 0 || len(status.Excluded) != largeFleet {
+		t.Errorf("a grant of %v without %d machines", status.Life, len(status.Excluded))
 	}
 	keeper := delegation.NewKeeper("a", g.core.set.Params.Workers, g.now)
-	grant, err := mesh.PackDelegation(said).Unpack()
+	grant, err := mesh.PackDelegation(status).Unpack()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controller/meshserver.go
+++ b/internal/controller/meshserver.go
@@ -41,7 +41,7 @@
 	}
 	answers := &mesh.Answers{ID: b.ID}
 	if b.Delegation {
-		answers.Delegation = s.n.sayDelegation(ctx, b.Node)
+		answers.Delegation = s.n.delegationStatus(ctx, b.Node)
 	} else {
 		answers = s.n.serveBatch(ctx, b)
 	}
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -95,12 +95,12 @@
 		Ticket Ticket
 		Node   string
 	}
-	// PeerSaid is what another node has answered to that, asked at Sent.
-	PeerSaid struct {
-		Node string
-		Sent unit.Instant
-		Said delegation.Said
-		Form rollout.Form // what that node can; 0: it does not say
+	// PeerStatus is what another node has answered to that, asked at Sent.
+	PeerStatus struct {
+		Node   string
+		Sent   unit.Instant
+		Status delegation.Status
+		Form   rollout.Form // what that node can; 0: it does not say
 	}
 	// Isolated says what this node is cut off from.
 	Isolated struct{ From delegation.Isolation }
@@ -123,7 +123,7 @@
 func (ReleaseDone) input() {}
 func (ListDone) input()    {}
 func (PeerAsked) input()   {}
-func (PeerSaid) input()    {}
+func (PeerStatus) input()  {}
 func (Isolated) input()    {}
 func (MeshCut) input()     {}
 func (FlavorsDone) input() {}
@@ -181,7 +181,7 @@
 	// ReplyPeer answers PeerAsked.
 	ReplyPeer struct {
 		Ticket Ticket
-		Said   delegation.Said
+		Status delegation.Status
 	}
 	// ReplyAsk answers a poll or a cancellation; Known must leave before Until.
 	ReplyAsk struct {
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -68,11 +68,11 @@
 	pace   *userapi.RetryPacer
 	asked  atomic.Uint32 // submissions that others were asked to store
 
-	kept       atomic.Bool  // the machine types are stored
-	quietSince atomic.Int64 // see delegation.Keeper
-	router     relay.Router
-	relayOut   chan relay.Item
-	meshFailed sync.Map // peer to the Instant of its last failure
+	kept            atomic.Bool  // the machine types are stored
+	keeperIdleSince atomic.Int64 // see delegation.Keeper
+	router          relay.Router
+	relayOut        chan relay.Item
+	meshFailed      sync.Map // peer to the Instant of its last failure
 }
 
 // NewNode composes a node from its settings.
@@ -96,7 +96,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.core = NewCore(set, pol, clock, n.budget, rng, log, n.met)
 	n.view.Store(&view{})
-	n.quietSince.Store(int64(n.core.keeper.QuietSince()))
+	n.keeperIdleSince.Store(int64(n.core.keeper.IdleSince()))
 	return n, nil
 }
 
@@ -178,7 +178,7 @@
 // than that. A listener that stopped accepting left them, and with them users
 // and the load balancer's probes, without an answer.
 func (n *Node) newDoor(l net.Listener) *connlimit.Listener {
-	d := connlimit.New(l, connlimit.Limits{All: sockets(n.set, listenShare), Patience: 2*n.set.Params.Workers.ReportInterval() + time.Second}, n.clock.Now)
+	d := connlimit.New(l, connlimit.Limits{All: sockets(n.set, listenShare), IdleTimeout: 2*n.set.Params.Workers.ReportInterval() + time.Second}, n.clock.Now)
 	n.met.watchDoor(d)
 	return d
 }
@@ -216,7 +216,7 @@
 
 func (n *Node) step(ctx context.Context, in Input) {
 	effects := n.core.Step(n.clock.Now(), in)
-	n.quietSince.Store(int64(n.core.keeper.QuietSince()))
+	n.keeperIdleSince.Store(int64(n.core.keeper.IdleSince()))
 	old := n.view.Load()
 	if v := (view{leader: n.core.Leader(), types: n.core.Types(), epoch: n.core.lead.Epoch()}); v.leader != old.leader || v.epoch != old.epoch || len(v.types) != len(old.types) {
 		n.view.Store(&v)
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -91,8 +91,8 @@
 		hear()
 		g.now = g.now.Add(200 * time.Millisecond)
 	}
-	if d := g.now.Sub(begun); d < handover.Patience-time.Second || d > handover.Patience+time.Second {
-		t.Errorf("handed over %v after that, want about %v", d, handover.Patience)
+	if d := g.now.Sub(begun); d < handover.Delay-time.Second || d > handover.Delay+time.Second {
+		t.Errorf("handed over %v after that, want about %v", d, handover.Delay)
 	}
 }
 
@@ -140,7 +140,7 @@
 		t.Fatalf("%v was taken in", <-b.n.inbox)
 	}
 	b.n.attest(context.Background(), answered, &mesh.Batch{Node: "n1", Echo: "x", QuietMs: 5000})
-	if in, ok := (<-b.n.inbox).(PeerSaid); !ok || in.Node != "n1" || in.Sent != left || in.Said.Quiet != 5*time.Second || in.Said.Life != 0 {
+	if in, ok := (<-b.n.inbox).(PeerStatus); !ok || in.Node != "n1" || in.Sent != left || in.Status.IdleFor != 5*time.Second || in.Status.Life != 0 {
 		t.Errorf("taken in as %+v", in)
 	}
 }
--- a/internal/controller/relaydown.go
+++ b/internal/controller/relaydown.go
@@ -54,7 +54,7 @@
 // attest takes in what a node that is out of reach over the mesh says of its grant.
 func (n *Node) attest(ctx context.Context, answered relay.Answered, b *mesh.Batch) {
 	if a, ok := answered.Attested(b); ok {
-		n.post(ctx, PeerSaid{Node: b.Node, Sent: a.Since, Said: delegation.Said{Quiet: a.Quiet}, Form: b.Form})
+		n.post(ctx, PeerStatus{Node: b.Node, Sent: a.Since, Status: delegation.Status{IdleFor: a.IdleFor}, Form: b.Form})
 	}
 }
 
--- a/internal/controller/relayup.go
+++ b/internal/controller/relayup.go
@@ -55,7 +55,7 @@
 // relayBatch makes the next batch of the queue.
 func (n *Node) relayBatch(id, answered string, queue []relay.Item) relay.Batch {
 	now := n.clock.Now()
-	header := relay.Header{ID: id, Node: n.set.Label, Echo: answered, Quiet: now.Sub(unit.Instant(n.quietSince.Load()))}
+	header := relay.Header{ID: id, Node: n.set.Label, Echo: answered, IdleFor: now.Sub(unit.Instant(n.keeperIdleSince.Load()))}
 	batch, err := relay.NewBatch(now, header, queue, n.relayLimit())
 	if err != nil {
 		n.log.Error("batch can't be made", "err", err)
--- a/internal/controller/release.go
+++ b/internal/controller/release.go
@@ -97,8 +97,8 @@
 	if t.c.cut || t.c.justWoke(now) {
 		return nil
 	}
-	zones := map[unit.Zone]*hush{}
-	var all hush
+	zones := map[unit.Zone]*silence{}
+	var all silence
 	limit, interval := t.silentLimit(), t.c.set.Params.Workers.ReportInterval()
 	for _, m := range t.fleet.Machines() {
 		if !m.Up {
@@ -106,7 +106,7 @@
 		}
 		z := zones[m.Zone]
 		if z == nil {
-			z = &hush{}
+			z = &silence{}
 			zones[m.Zone] = z
 		}
 		last := t.unheardFor(now, m)
@@ -115,12 +115,12 @@
 	}
 	// Those that miss their first report count too: in a cut the machines fall
 	// silent one after the other, and the first must not be returned alone.
-	few := all.quiet <= max(1, all.machines/10)
+	few := all.late <= max(1, all.machines/10)
 	silent := map[unit.MachineID]bool{}
 	// All reports are looked over only where it matters.
 	found := !few && (t.reach.Relayed() || now.Sub(t.found) < foundFor)
 	for _, z := range zones {
-		settled := !found && all.quiet == len(all.silent) && z.quiet <= z.machines/2
+		settled := !found && all.late == len(all.silent) && z.late <= z.machines/2
 		if all.machines < 3 || !few && !settled {
 			continue
 		}
@@ -149,16 +149,16 @@
 	}
 }
 
-// hush counts the machines that are heard, and those that are not.
-type hush struct {
-	machines, quiet int
-	silent          []unit.MachineID
+// silence counts the machines that are heard, and those that are not.
+type silence struct {
+	machines, late int
+	silent         []unit.MachineID
 }
 
-func (h *hush) count(last, limit, late time.Duration, id unit.MachineID) {
+func (h *silence) count(last, limit, late time.Duration, id unit.MachineID) {
 	h.machines++
 	if last > late {
-		h.quiet++
+		h.late++
 	}
 	if last > limit {
 		h.silent = append(h.silent, id)
--- a/internal/controller/sim_nodes_test.go
+++ b/internal/controller/sim_nodes_test.go
@@ -91,7 +91,7 @@
 	s.after(s.latency(), func() {
 		if p.alive {
 			s.step(p, PeerAsked{Node: n.name, Ticket: func(r ReplyPeer) {
-				s.reply(n, life, PeerSaid{Node: p.name, Sent: sent, Said: r.Said, Form: s.formOf(n, p)})
+				s.reply(n, life, PeerStatus{Node: p.name, Sent: sent, Status: r.Status, Form: s.formOf(n, p)})
 			}})
 		}
 	})
--- a/internal/delegation/keeper.go
+++ b/internal/delegation/keeper.go
@@ -34,15 +34,15 @@
 	return min(life, mostLife)
 }
 
-// Said is what a node answers to another that asks it.
-type Said struct {
+// Status is what a node answers to another that asks it.
+type Status struct {
 	// Epoch and Life are of a grant; Life 0: none is given.
 	Epoch unit.Epoch
 	Life  time.Duration
-	// Owing are the machines that must end something: they are not kept.
-	Owing []unit.MachineID
-	// Quiet is how long ago, at least, the node kept a worker by a grant.
-	Quiet time.Duration
+	// Excluded are the machines that must end something: they are not kept.
+	Excluded []unit.MachineID
+	// IdleFor is how long ago, at least, the node kept a worker by a grant.
+	IdleFor time.Duration
 }
 
 // Verdict on a report that this node can't answer as leader.
@@ -96,7 +96,7 @@
 	heard      unit.Instant // when the last request left that the leader answered
 	base       unit.Instant // when the request for the grant left
 	until      unit.Instant
-	owing      map[unit.MachineID]bool
+	excluded   map[unit.MachineID]bool
 	last       unit.Instant // 0: never kept a worker
 	workers    map[unit.MachineID]contact
 }
@@ -113,7 +113,7 @@
 }
 
 // Take takes in a grant that was asked for at base.
-func (k *Keeper) Take(base unit.Instant, s Said) {
+func (k *Keeper) Take(base unit.Instant, s Status) {
 	if s.Epoch != 0 {
 		k.heard = max(k.heard, base)
 	}
@@ -121,9 +121,9 @@
 		return
 	}
 	k.epoch, k.base, k.until = s.Epoch, base, base.Add(s.Life)
-	k.owing = make(map[unit.MachineID]bool, len(s.Owing))
-	for _, id := range s.Owing {
-		k.owing[id] = true
+	k.excluded = make(map[unit.MachineID]bool, len(s.Excluded))
+	for _, id := range s.Excluded {
+		k.excluded[id] = true
 	}
 }
 
@@ -145,7 +145,7 @@
 	if cut == Connected || k.epoch == 0 || now.Sub(k.heard) < lost {
 		return Pass
 	}
-	may := now.Before(k.until) && r.Zone == k.zone && r.Token <= k.epoch && !k.owing[r.Machine]
+	may := now.Before(k.until) && r.Zone == k.zone && r.Token <= k.epoch && !k.excluded[r.Machine]
 	if !may {
 		return Refuse
 	}
@@ -170,9 +170,9 @@
 	return cut != Outage && !k.until.Before(now.Add(probeTime))
 }
 
-// Quiet is how long ago, at least, this node kept a worker; what an earlier
+// IdleFor is how long ago, at least, this node kept a worker; what an earlier
 // process of it did was before this one started.
-func (k *Keeper) Quiet(now unit.Instant) time.Duration { return now.Sub(k.QuietSince()) }
+func (k *Keeper) IdleFor(now unit.Instant) time.Duration { return now.Sub(k.IdleSince()) }
 
-// QuietSince is since when, at the latest, this node has kept no worker.
-func (k *Keeper) QuietSince() unit.Instant { return max(k.last, k.started) }
+// IdleSince is since when, at the latest, this node has kept no worker.
+func (k *Keeper) IdleSince() unit.Instant { return max(k.last, k.started) }
--- a/internal/delegation/keeper_test.go
+++ b/internal/delegation/keeper_test.go
@@ -42,8 +42,8 @@
 	if k.Judge(seconds(60), Alone, mine) != Pass {
 		t.Error("a node that never had a grant took a decision of its own")
 	}
-	k.Take(seconds(60), Said{Epoch: 7, Life: 20 * time.Second, Owing: []unit.MachineID{"m2"}})
-	k.Take(seconds(59), Said{Epoch: 6, Life: time.Hour}) // came late, of an earlier leader
+	k.Take(seconds(60), Status{Epoch: 7, Life: 20 * time.Second, Excluded: []unit.MachineID{"m2"}})
+	k.Take(seconds(59), Status{Epoch: 6, Life: time.Hour}) // came late, of an earlier leader
 	if k.Judge(seconds(62), Alone, mine) != Pass || k.Judge(seconds(70), Connected, mine) != Pass {
 		t.Error("a node that is not cut off took a decision of its own")
 	}
@@ -62,7 +62,7 @@
 	if k.Judge(seconds(73.9), Alone, report("m4", "a", 7)) != Probe || k.Judge(seconds(74.1), Alone, report("m7", "a", 7)) != Keep {
 		t.Error("a worker must try another node only if it is back before the grant ends")
 	}
-	if q := k.Quiet(seconds(78)); q != 3900*time.Millisecond {
+	if q := k.IdleFor(seconds(78)); q != 3900*time.Millisecond {
 		t.Errorf("the last worker was kept %v ago, want 3.9 s", q)
 	}
 	if k.Judge(seconds(80), Alone, mine) != Refuse {
@@ -74,7 +74,7 @@
 // node that does not answer is kept before it probes one, and after it.
 func TestKeeperOfShortLeases(t *testing.T) {
 	k := NewKeeper("a", config.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}, now)
-	k.Take(seconds(60), Said{Epoch: 7, Life: 27 * time.Second})
+	k.Take(seconds(60), Status{Epoch: 7, Life: 27 * time.Second})
 	for i, want := range []Verdict{Keep, Probe, Keep, Keep} {
 		at := []float64{65, 66, 71.5, 72.5}[i]
 		if got := k.Judge(seconds(at), Alone, &fleet.Report{Machine: "m1", Zone: "a", Token: 7}); got != want {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -357,11 +357,11 @@
 		r.now = r.now.Add(3 * time.Second)
 		r.f.Take(r.now, &Report{Machine: "host-1", Addr: "10.0.0.1:1", Type: "m", Zone: "a", Session: 1, Tally: r.m.Tally + 1, Token: epoch}, false)
 	}
-	if !r.f.Quiet(r.now, r.m) {
+	if !r.f.Overdue(r.now, r.m) {
 		t.Error("a machine that only answers commands may get tasks")
 	}
 	r.report(1, r.m.Tally+1, epoch)
-	if r.f.Quiet(r.now, r.m) {
+	if r.f.Overdue(r.now, r.m) {
 		t.Error("a machine that reports again gets nothing")
 	}
 }
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -86,9 +86,9 @@
 		!m.StrayRuns() && f.types[m.Type] != nil
 }
 
-// Quiet tells whether the machine has missed reports, so that a launch sent
+// Overdue tells whether the machine has missed reports, so that a launch sent
 // to it would probably hang. Answers to commands are no reports: a machine that
 // takes commands but reaches no node loses all it has with its lease.
-func (f *Fleet) Quiet(now unit.Instant, m *Machine) bool {
+func (f *Fleet) Overdue(now unit.Instant, m *Machine) bool {
 	return now.Sub(m.LastBeat) > 2*f.times.Report+f.times.Report/2
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -11,14 +11,14 @@
 const (
 	// window is how recent a report must be to count.
 	window = 8 * time.Second
-	// Patience is how long most workers must have been out of reach
-	// before a leader gives leadership up, and Rest how long it stays out
+	// Delay is how long most workers must have been out of reach
+	// before a leader gives leadership up, and Cooldown how long it stays out
 	// of the election after that.
-	Patience = 6 * time.Second
-	Rest     = 15 * time.Second
-	// Memory is how long a handover counts: a node that leads again within
+	Delay    = 6 * time.Second
+	Cooldown = 15 * time.Second
+	// BackoffReset is how long a handover counts: a node that leads again within
 	// that time is twice as patient as before, up to mostBackoffs times.
-	Memory       = 2 * time.Minute
+	BackoffReset = 2 * time.Minute
 	mostBackoffs = 4
 	// missedRatio times as many workers that don't come themselves as do show
 	// that a leader is badly placed; leastRelayed workers, and one of relayedPart,
@@ -67,7 +67,7 @@
 // that are not heard of at all count too: through the state service a node
 // relays but a part of hundreds, and a leader that waited until most were
 // relayed held on for half a minute while leases ran out.
-func (r *Reach) Heir(now unit.Instant, known int, patience time.Duration) string {
+func (r *Reach) Heir(now unit.Instant, known int, delay time.Duration) string {
 	direct, relayed := 0, 0
 	through := map[string]int{}
 	for id, c := range r.last {
@@ -89,7 +89,7 @@
 	if r.since == 0 {
 		r.since = now
 	}
-	if now.Sub(r.since) < patience || relayed < max(leastRelayed, known/relayedPart) {
+	if now.Sub(r.since) < delay || relayed < max(leastRelayed, known/relayedPart) {
 		return ""
 	}
 	best := ""
@@ -115,12 +115,12 @@
 	last  unit.Instant
 }
 
-// Patience is how long workers must be missing before the next handover.
-func (h *History) Patience(now unit.Instant) time.Duration {
-	if now.Sub(h.last) > Memory {
+// Delay is how long workers must be missing before the next handover.
+func (h *History) Delay(now unit.Instant) time.Duration {
+	if now.Sub(h.last) > BackoffReset {
 		h.count = 0
 	}
-	return Patience << h.count
+	return Delay << h.count
 }
 
 // Note takes in that this node hands leadership over.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -19,11 +19,11 @@
 	for now := begun; now.Sub(begun) < 20*time.Second; now = now.Add(time.Second) {
 		hear(&r, now, "near", 10, "")
 		hear(&alone, now, "near", 10, "")
-		if heir := alone.Heir(now, 100, Patience); heir != "" {
+		if heir := alone.Heir(now, 100, Delay); heir != "" {
 			t.Fatalf("leaves it to %q, which nobody comes through", heir)
 		}
 		hear(&r, now, "far", 16, "n2")
-		if heir := r.Heir(now, 100, Patience); (heir == "n2") != (now.Sub(begun) >= Patience) {
+		if heir := r.Heir(now, 100, Delay); (heir == "n2") != (now.Sub(begun) >= Delay) {
 			t.Fatalf("heir %q after %v", heir, now.Sub(begun))
 		}
 	}
@@ -31,13 +31,13 @@
 	for now := begun; now.Sub(begun) < 20*time.Second; now = now.Add(time.Second) {
 		hear(&fewer, now, "near", 10, "")
 		hear(&fewer, now, "far", 10, "n2")
-		if heir := fewer.Heir(now, 100, Patience); heir != "" {
+		if heir := fewer.Heir(now, 100, Delay); heir != "" {
 			t.Fatalf("leaves it to %q, which brings no more than come here", heir)
 		}
 	}
 	now := begun.Add(20 * time.Second)
 	hear(&r, now, "near", 50, "")
-	if r.Heir(now, 100, Patience) != "" {
+	if r.Heir(now, 100, Delay) != "" {
 		t.Error("gives up although many workers reach it")
 	}
 }
@@ -47,17 +47,17 @@
 func TestHandoversBackOff(t *testing.T) {
 	var h History
 	now := unit.Instant(time.Hour)
-	for want := Patience; want <= Patience<<mostBackoffs; want *= 2 {
-		if got := h.Patience(now); got != want {
+	for want := Delay; want <= Delay<<mostBackoffs; want *= 2 {
+		if got := h.Delay(now); got != want {
 			t.Errorf("waits for %v, want %v", got, want)
 		}
 		h.Note(now)
 		now = now.Add(30 * time.Second)
 	}
-	if got := h.Patience(now); got != Patience<<mostBackoffs {
+	if got := h.Delay(now); got != Delay<<mostBackoffs {
 		t.Errorf("waits for %v", got)
 	}
-	if got := h.Patience(now.Add(Memory)); got != Patience {
+	if got := h.Delay(now.Add(BackoffReset)); got != Delay {
 		t.Errorf("waits for %v after a quiet while", got)
 	}
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -49,14 +49,14 @@
 	nextPoll unit.Instant
 	busy     bool // a read, grant, acquire or reseal is under way
 
-	tenure   unit.Tenure
-	mine     Holder
-	epoch    unit.Epoch
-	until    unit.Instant // entitlement ends
-	renewing bool
-	nextTry  unit.Instant
-	raising  bool
-	restTill unit.Instant // does not stand for election before
+	tenure     unit.Tenure
+	mine       Holder
+	epoch      unit.Epoch
+	until      unit.Instant // entitlement ends
+	renewing   bool
+	nextTry    unit.Instant
+	raising    bool
+	standAfter unit.Instant // does not stand for election before
 }
 
 // New returns a machine for the node. Every process must give it a random
@@ -183,7 +183,7 @@
 func (m *Machine) mayStand(now unit.Instant) bool {
 	// A key handed over to this node is taken even while it rests from one
 	// that it gave up: else it stays without a leader.
-	return m.stamp == 0 && !now.Before(m.restTill) || m.stamp != 0 && m.seen.Node == m.node
+	return m.stamp == 0 && !now.Before(m.standAfter) || m.stamp != 0 && m.seen.Node == m.node
 }
 
 func (m *Machine) granted(now unit.Instant, in Granted) []Effect {
@@ -297,7 +297,7 @@
 	}
 	epoch := m.epoch
 	m.depose(now)
-	m.restTill = now.Add(in.Rest)
+	m.standAfter = now.Add(in.Cooldown)
 	m.pollAgain(now)
 	if in.Heir != "" {
 		return []Effect{HandOver{Prev: epoch, Holder: Holder{Node: in.Heir, Nonce: m.nonce()}, Tenure: m.tenure}}
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -119,7 +119,7 @@
 
 func TestResignRests(t *testing.T) {
 	m := elect(t, 5)
-	e := m.Step(t0, Resign{Rest: 20 * time.Second})
+	e := m.Step(t0, Resign{Cooldown: 20 * time.Second})
 	if len(e) != 1 || e[0].(Release).Tenure != 7 || m.Leads() {
 		t.Fatalf("effects %v", e)
 	}
@@ -135,7 +135,7 @@
 // looks on; the one that handed over is entitled no more.
 func TestHandOver(t *testing.T) {
 	m := elect(t, 5)
-	effects := m.Step(t0, Resign{Rest: time.Minute, Heir: "n1"})
+	effects := m.Step(t0, Resign{Cooldown: time.Minute, Heir: "n1"})
 	if m.Leads() || len(effects) != 1 {
 		t.Fatalf("leads %v after %v", m.Leads(), effects)
 	}
@@ -154,7 +154,7 @@
 	}
 	// One that rests itself takes what is handed to it, and nothing else.
 	rests := elect(t, 4)
-	rests.Step(t0, Resign{Rest: time.Minute, Heir: "n1"})
+	rests.Step(t0, Resign{Cooldown: time.Minute, Heir: "n1"})
 	if e := rests.Step(t0, KeyRead{OK: true}); len(e) != 0 {
 		t.Error("stands while it rests")
 	}
--- a/internal/leadership/messages.go
+++ b/internal/leadership/messages.go
@@ -46,8 +46,8 @@
 	RaiseToken struct{}
 	// Resign asks to give leadership up, to the node Heir if one is named.
 	Resign struct {
-		Rest time.Duration
-		Heir string
+		Cooldown time.Duration
+		Heir     string
 	}
 )
 
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -77,26 +77,26 @@
 
 // Delegation is what a node says of grants; see package delegation.
 type Delegation struct {
-	Epoch   unit.Epoch                `msgpack:"e" json:"e"`
-	LifeMs  int64                     `msgpack:"l" json:"l"`
-	QuietMs int64                     `msgpack:"q" json:"q"`
-	Owing   wire.List[unit.MachineID] `msgpack:"o,omitempty" json:"o,omitempty"`
-	Form    rollout.Form              `msgpack:"f,omitempty" json:"f,omitempty"`
+	Epoch    unit.Epoch                `msgpack:"e" json:"e"`
+	LifeMs   int64                     `msgpack:"l" json:"l"`
+	QuietMs  int64                     `msgpack:"q" json:"q"`
+	Excluded wire.List[unit.MachineID] `msgpack:"o,omitempty" json:"o,omitempty"`
+	Form     rollout.Form              `msgpack:"f,omitempty" json:"f,omitempty"`
 }
 
 // PackDelegation makes the form of it that travels.
-func PackDelegation(s delegation.Said) *Delegation {
-	return &Delegation{Epoch: s.Epoch, LifeMs: s.Life.Milliseconds(), QuietMs: s.Quiet.Milliseconds(), Owing: s.Owing, Form: rollout.Newest}
+func PackDelegation(s delegation.Status) *Delegation {
+	return &Delegation{Epoch: s.Epoch, LifeMs: s.Life.Milliseconds(), QuietMs: s.IdleFor.Milliseconds(), Excluded: s.Excluded, Form: rollout.Newest}
 }
 
 // Unpack undoes PackDelegation. What can't be is taken for no grant.
-func (v *Delegation) Unpack() (delegation.Said, error) {
+func (v *Delegation) Unpack() (delegation.Status, error) {
 	const most = 1 << 40 // milliseconds: some decades
 	if v.LifeMs < 0 || v.LifeMs > most || v.QuietMs < 0 || v.QuietMs > most {
-		return delegation.Said{}, errors.New("a grant with an impossible time")
+		return delegation.Status{}, errors.New("a grant with an impossible time")
 	}
-	return delegation.Said{Epoch: v.Epoch, Life: time.Duration(v.LifeMs) * time.Millisecond,
-		Quiet: time.Duration(v.QuietMs) * time.Millisecond, Owing: v.Owing}, nil
+	return delegation.Status{Epoch: v.Epoch, Life: time.Duration(v.LifeMs) * time.Millisecond,
+		IdleFor: time.Duration(v.QuietMs) * time.Millisecond, Excluded: v.Excluded}, nil
 }
 
 // Answer answers one report.
--- a/internal/relay/attest.go
+++ b/internal/relay/attest.go
@@ -21,8 +21,8 @@
 
 // Attestation is what a node says of the workers that it keeps by a grant.
 type Attestation struct {
-	Since unit.Instant // it said so after this
-	Quiet time.Duration
+	Since   unit.Instant // it said so after this
+	IdleFor time.Duration
 }
 
 // mostQuietMs bounds what a node may say of its quiet time: some decades.
@@ -36,5 +36,5 @@
 	if b.Echo == "" || last.id != b.Echo || b.QuietMs < 0 || b.QuietMs >= mostQuietMs {
 		return Attestation{}, false
 	}
-	return Attestation{Since: last.at, Quiet: time.Duration(b.QuietMs) * time.Millisecond}, true
+	return Attestation{Since: last.at, IdleFor: time.Duration(b.QuietMs) * time.Millisecond}, true
 }
--- a/internal/relay/batch.go
+++ b/internal/relay/batch.go
@@ -44,10 +44,10 @@
 
 // Header is what a batch says beside its items.
 type Header struct {
-	ID    string
-	Node  string
-	Echo  string        // the last batch that was answered
-	Quiet time.Duration // since the node kept a worker by a grant
+	ID      string
+	Node    string
+	Echo    string        // the last batch that was answered
+	IdleFor time.Duration // since the node kept a worker by a grant
 }
 
 // Batch is what goes into one value.
@@ -79,7 +79,7 @@
 }
 
 func message(h Header, items []Item) *mesh.Batch {
-	b := &mesh.Batch{ID: h.ID, Node: h.Node, Echo: h.Echo, QuietMs: h.Quiet.Milliseconds(), Form: rollout.Newest}
+	b := &mesh.Batch{ID: h.ID, Node: h.Node, Echo: h.Echo, QuietMs: h.IdleFor.Milliseconds(), Form: rollout.Newest}
 	for _, item := range items {
 		if item.Report != nil {
 			b.Reports = append(b.Reports, mesh.Pack(item.Report))
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -63,8 +63,8 @@
 // Form is the form that may be used.
 func (c *Cluster) Form() Form { return min(c.agreed, Newest) }
 
-// Said notes what a node can. Nodes that the settings don't name don't count.
-func (c *Cluster) Said(now unit.Instant, node string, f Form) {
+// Heard notes what a node can. Nodes that the settings don't name don't count.
+func (c *Cluster) Heard(now unit.Instant, node string, f Form) {
 	if _, ok := c.heard[node]; ok {
 		c.heard[node] = heard{max(First, f), now}
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -13,18 +13,18 @@
 // can, and stays.
 func TestAgreement(t *testing.T) {
 	c := New([]string{"n1", "n2"}, 0)
-	c.Said(now, "n1", Newest)
-	c.Said(now, "n2", 0) // of the version before
-	c.Said(now, "who", Newest)
+	c.Heard(now, "n1", Newest)
+	c.Heard(now, "n2", 0) // of the version before
+	c.Heard(now, "who", Newest)
 	if c.Next(now) != 0 || c.Form() != First || c.Behind(now) != 1 {
 		t.Fatal("agreed without a node")
 	}
 	late := now.Add(10 * time.Second)
-	c.Said(late, "n2", Newest)
+	c.Heard(late, "n2", Newest)
 	if c.Next(late) != 0 {
 		t.Error("agreed though a node was not heard lately")
 	}
-	c.Said(late, "n1", Newest)
+	c.Heard(late, "n1", Newest)
 	if c.Next(late) != Newest || c.Next(late) != 0 || c.Form() != First {
 		t.Fatal("the agreement must be stored once, before it is used")
 	}
@@ -33,7 +33,7 @@
 		t.Error("used although it was not stored, or not tried again")
 	}
 	c.Settle(true)
-	c.Said(late, "n1", 0) // a version from before has come back
+	c.Heard(late, "n1", 0) // a version from before has come back
 	if c.Form() != Newest || c.Next(late) != 0 {
 		t.Error("taken back")
 	}
@@ -57,7 +57,7 @@
 	if c.Form() != Parts || c.Next(now) != 0 {
 		t.Error("a node that was not heard was taken for one that has this version")
 	}
-	c.Said(now, "n1", Newest)
+	c.Heard(now, "n1", Newest)
 	if c.Next(now) != Newest {
 		t.Error("the newest form is not stored after the one before")
 	}
@@ -67,8 +67,8 @@
 // all of them can is agreed on, and later ones after it.
 func TestFormThatAllHave(t *testing.T) {
 	c := New([]string{"n1", "n2"}, 0)
-	c.Said(now, "n1", Parts)
-	c.Said(now, "n2", Newest)
+	c.Heard(now, "n1", Parts)
+	c.Heard(now, "n2", Newest)
 	if c.Next(now) != Parts {
 		t.Fatal("the form that all have was not agreed on")
 	}
@@ -76,7 +76,7 @@
 	if c.Form() != Parts || c.Behind(now) != 1 || c.Next(now) != 0 {
 		t.Errorf("form %d, %d nodes behind", c.Form(), c.Behind(now))
 	}
-	c.Said(now, "n1", 99)
+	c.Heard(now, "n1", 99)
 	if c.Next(now) != Newest {
 		t.Error("the newest form was not agreed on")
 	}
--- a/internal/round/consolidate.go
+++ b/internal/round/consolidate.go
@@ -25,7 +25,7 @@
 // end one by one, and what is left would keep many machines for little. Tasks
 // of arrays on them run to their end.
 func (p *planner) consolidate(short []shortage) {
-	if !p.w.MayVacate || len(p.missing) > 0 || !p.patientOnly(short) {
+	if !p.w.MayVacate || len(p.missing) > 0 || !p.ampleSlackOnly(short) {
 		return
 	}
 	var inUse, from []*bin
@@ -54,10 +54,10 @@
 	}
 }
 
-// patientOnly tells whether all work that found no room can wait.
-func (p *planner) patientOnly(short []shortage) bool {
+// ampleSlackOnly tells whether all work that found no room can wait.
+func (p *planner) ampleSlackOnly(short []shortage) bool {
 	for _, s := range short {
-		if p.patience(s.job) < patient {
+		if p.slack(s.job) < ampleSlack {
 			return false
 		}
 	}
--- a/internal/round/machines.go
+++ b/internal/round/machines.go
@@ -41,7 +41,7 @@
 
 func (p *planner) makeBins() {
 	for _, m := range p.w.Fleet.Machines() {
-		if p.w.Fleet.Placeable(m) && !p.w.Fleet.Quiet(p.w.Now, m) {
+		if p.w.Fleet.Placeable(m) && !p.w.Fleet.Overdue(p.w.Now, m) {
 			p.bins = append(p.bins, &bin{m: m, typ: p.w.Fleet.Type(m.Type), zone: m.Zone, spot: m.Spot, free: p.w.Fleet.Free(m)})
 		}
 	}
--- a/internal/round/preempt.go
+++ b/internal/round/preempt.go
@@ -9,7 +9,7 @@
 )
 
 func (p *planner) mayPreempt(j *checkpoint.Job) bool {
-	if j.Spec.Priority >= checkpoint.High || p.patience(j) < 2*urgentBelow {
+	if j.Spec.Priority >= checkpoint.High || p.slack(j) < 2*urgentBelow {
 		return true
 	}
 	return p.w.Now.Sub(j.QueuedAt) >= p.w.Policy.PreemptAfter
@@ -308,7 +308,7 @@
 func (p *planner) hears(j *checkpoint.Job) bool {
 	for _, v := range j.Live {
 		m := p.w.Fleet.Machine(v.Machine)
-		if m == nil || !m.Up || p.w.Fleet.Quiet(p.w.Now, m) {
+		if m == nil || !m.Up || p.w.Fleet.Overdue(p.w.Now, m) {
 			return false
 		}
 	}
--- a/internal/round/urgency.go
+++ b/internal/round/urgency.go
@@ -26,23 +26,23 @@
 	// cheap: an offer is cheap if a task costs at most so many times what it
 	// costs on the cheapest kind.
 	cheap = 1.5
-	// unhurried is the patience, in seconds, of work that nothing is expected of.
-	unhurried = 150
-	// patient, in seconds: work with more patience than this does not use
+	// defaultSlack is the slack, in seconds, of work that nothing is expected of.
+	defaultSlack = 150
+	// ampleSlack, in seconds: work with more slack than this does not use
 	// machines that only it would keep.
-	patient = 90
+	ampleSlack = 90
 	// stalled, in seconds: of what has waited so long without any start, tasks
 	// may go wherever they fit.
 	stalled = 60
-	// hopeful: the part of its estimate that work may take if all goes well.
-	hopeful = 0.6
+	// optimisticRun: the part of its estimate that work may take if all goes well.
+	optimisticRun = 0.6
 	// runs: how much longer than its estimate work is expected to run.
 	runs = 1.3
 )
 
-// patience tells how many seconds the job can still wait for its tasks to
+// slack tells how many seconds the job can still wait for its tasks to
 // start and meet what is expected of it.
-func (p *planner) patience(j *checkpoint.Job) float64 {
+func (p *planner) slack(j *checkpoint.Job) float64 {
 	if j.Spec.Service || j.Spec.Priority >= checkpoint.High {
 		return 0
 	}
@@ -62,9 +62,9 @@
 	case !math.IsInf(left, 1):
 	case j.Begun():
 		// Nobody waits for the rest of it.
-		return unhurried
+		return defaultSlack
 	default:
-		left = unhurried - waited
+		left = defaultSlack - waited
 	}
 	return max(0, left)
 }
@@ -77,7 +77,7 @@
 		return 0, false
 	}
 	for _, t := range targets {
-		if p.waited(j)+hopeful*j.Spec.EstimateS <= t.Seconds() {
+		if p.waited(j)+optimisticRun*j.Spec.EstimateS <= t.Seconds() {
 			return t, true
 		}
 	}
@@ -161,17 +161,17 @@
 	if p.isCheap(j, t, spot) {
 		return true
 	}
-	patience := p.patience(j)
-	if patience-p.soonest(j) >= urgentBelow {
+	slack := p.slack(j)
+	if slack-p.soonest(j) >= urgentBelow {
 		return false
 	}
-	if j.Spec.Priority < checkpoint.High && !p.withinGuarantee(j) && p.drain(j) <= patience {
+	if j.Spec.Priority < checkpoint.High && !p.withinGuarantee(j) && p.drain(j) <= slack {
 		return false
 	}
 	start := startTime(j, t)
 	// What would be late on a new machine anyway is not helped by a dear one.
 	left, has := p.timeLeft(j)
-	return !has || j.Spec.Priority >= checkpoint.High || left >= start+hopeful*j.Spec.EstimateS
+	return !has || j.Spec.Priority >= checkpoint.High || left >= start+optimisticRun*j.Spec.EstimateS
 }
 
 // isCheap tells whether a task of the job costs about the least on the kind.
@@ -232,7 +232,7 @@
 	if p.isStalled(j) || j.Spec.Service || j.Spec.Priority >= checkpoint.High || p.guards {
 		return true
 	}
-	if p.patience(j) < patient && (p.first || !p.unexpecting(j)) {
+	if p.slack(j) < ampleSlack && (p.first || !p.unexpecting(j)) {
 		return true
 	}
 	return b.m.Anchored() || p.isCheap(j, b.typ, b.spot)
--- a/internal/round/urgency_test.go
+++ b/internal/round/urgency_test.go
@@ -52,7 +52,7 @@
 	patienceAfter := func(waited time.Duration) float64 {
 		w := *s.w
 		w.WallMs = waited.Milliseconds()
-		return (&planner{w: &w}).patience(j)
+		return (&planner{w: &w}).slack(j)
 	}
 	for _, c := range []struct {
 		waited time.Duration
@@ -65,7 +65,7 @@
 		{240 * time.Second, 0},
 	} {
 		if got := patienceAfter(c.waited); got < c.want-0.01 || got > c.want+0.01 {
-			t.Errorf("after %v: patience %v, want %v", c.waited, got, c.want)
+			t.Errorf("after %v: slack %v, want %v", c.waited, got, c.want)
 		}
 	}
 }
