--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -75,3 +75,63 @@
 		t.Error("reports that nobody waits for any more are sent")
 	}
 }
+
+// TestRelayOfTwoThousandWorkers: the workers of a cut-off half of 4,000 machines go up
+// in batches, each of which fits into a value, and each of them once; users' requests
+// go first. What is left when nobody waits any more is dropped: such workers are kept
+// by the node's grant, or try another node.
+func TestRelayOfTwoThousandWorkers(t *testing.T) {
+	const workers, valueBytes, mostBatches = 2000, 8192, 60
+	now := unit.Instant(time.Hour)
+	var queue []Item
+	for i := range workers {
+		r := &fleet.Report{Machine: unit.MachineID(fmt.Sprintf("host-%06d", i)), Addr: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250),
+			Type: "m", Zone: "a", Session: 1, Tally: unit.Tally(i)}
+		r.Entries = []fleet.Entry{{Task: unit.TaskID{Job: "wk-000001", Index: unit.TaskIndex(i)}, Attempt: unit.Attempt(i), State: "running"}}
+		queue = append(queue, NewReport(r, now.Add(time.Hour)))
+	}
+	queue = append(queue, NewCancellation("wk-000002", now.Add(time.Hour)))
+	sent := map[unit.MachineID]int{}
+	for number := 1; len(queue) > 0; number++ {
+		batch, err := NewBatch(now, Header{ID: fmt.Sprint(number), Node: "n1"}, queue, Limit(valueBytes))
+		if err != nil || len(batch.Value) > valueBytes || len(batch.Sent) == 0 || number > mostBatches {
+			t.Fatalf("batch %d: %d sent in %d bytes, %v", number, len(batch.Sent), len(batch.Value), err)
+		}
+		if number == 1 && batch.Sent[0].Job != "wk-000002" {
+			t.Error("a cancellation waits behind reports")
+		}
+		for _, item := range batch.Sent {
+			if item.Report != nil {
+				sent[item.Report.Machine]++
+			}
+		}
+		queue = batch.Rest
+	}
+	for id, n := range sent {
+		if n != 1 {
+			t.Errorf("%s was sent %d times", id, n)
+		}
+	}
+	if len(sent) != workers {
+		t.Errorf("%d of %d workers were relayed", len(sent), workers)
+	}
+}
+
+// TestDeliver hands each answer to who waits for it, and nothing to the others.
+func TestDeliver(t *testing.T) {
+	now := unit.Instant(time.Hour)
+	answered := NewReport(&fleet.Report{Machine: "m1"}, now)
+	left := NewReport(&fleet.Report{Machine: "m2"}, now)
+	cancelled := NewCancellation("wk-000001", now)
+	Deliver(&mesh.Answers{Reports: []mesh.Answer{{Machine: "m1", Code: 200, Epoch: 7}}, Asks: []mesh.AskState{{Job: "wk-000001", Standing: "cancelled"}}},
+		[]Item{answered, left, cancelled})
+	if a := <-answered.Answer; a.Epoch != 7 {
+		t.Errorf("answered %+v", a)
+	}
+	if s := <-cancelled.State; s.Standing != "cancelled" {
+		t.Errorf("cancelled %+v", s)
+	}
+	if len(left.Answer) != 0 {
+		t.Error("a report was answered that the leader left out")
+	}
+}
