--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"badgerbay/internal/unit"
 )
@@ -129,17 +130,17 @@
 	return nil
 }
 
-// leastTakeoverS is the least time, in seconds, in which another node can take
-// over: the shortest lease of a leader.
-const leastTakeoverS = 2
+// leastTakeover is the least time in which another node can take over: the shortest
+// lease of a leader.
+const leastTakeover = 2 * time.Second
 
 // checkTimes refuses times with which the rules can't be kept.
 func (w Workers) checkTimes() error {
 	switch {
 	case w.LeaseS <= 2*w.ReportS:
 		return wrong("params.workers.lease_s", "%v leaves no room for a lost report (report_s %v)", w.LeaseS, w.ReportS)
-	case w.LeaseS < 1.25*w.ReportS+leastTakeoverS:
-		return wrong("params.workers.lease_s", "%v leaves no room for a takeover (report_s %v, and %v s)", w.LeaseS, w.ReportS, leastTakeoverS)
+	case w.Lease() < w.LongestReportGap()+leastTakeover:
+		return wrong("params.workers.lease_s", "%v leaves no room for a takeover (report_s %v, and %v)", w.LeaseS, w.ReportS, leastTakeover)
 	case w.CancelS <= w.LeaseS:
 		return wrong("params.workers.cancel_s", "%v is no longer than lease_s, %v, for which a machine out of reach keeps its tasks", w.CancelS, w.LeaseS)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -149,13 +149,18 @@
 	nextNodePause = time.Second
 )
 
+// LongestReportGap is how long a worker that reaches a node may be without a report:
+// reports may be a quarter late.
+func (w Workers) LongestReportGap() time.Duration {
+	interval := w.ReportInterval()
+	return interval + interval/4
+}
+
 // TakeoverTime is how long all nodes may leave a worker without an answer: its
-// last answered report was sent up to a report interval and a quarter before, and
-// after one that a lost leader never answers it finds the successor with its
-// first try elsewhere.
+// last answered report was sent up to the longest gap before, and after one that a
+// lost leader never answers it finds the successor with its first try elsewhere.
 func (w Workers) TakeoverTime() time.Duration {
-	interval := w.ReportInterval()
-	return w.Lease() - interval - interval/4 - reportTimeout - nextNodePause
+	return w.Lease() - w.LongestReportGap() - reportTimeout - nextNodePause
 }
 
 // Cancel is how long the tasks of a cancelled job may stay.
--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -12,8 +12,7 @@
 	if t.flight != nil || t.fold != nil || t.c.lead.Raising() {
 		return false
 	}
-	interval := t.c.set.Params.Workers.ReportInterval()
-	if t.c.justWoke(now) || now.Sub(t.acquired) < interval+interval/4 {
+	if t.c.justWoke(now) || now.Sub(t.acquired) < t.c.set.Params.Workers.LongestReportGap() {
 		// It has heard nobody because it stood still itself, or because the
 		// workers have not had the time to come.
 		t.reach.Restart()
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -277,7 +277,7 @@
 func (t *term) fastestBoot(s *checkpoint.Spec) time.Duration {
 	fastest := time.Duration(math.MaxInt64)
 	for _, typ := range t.c.types {
-		allowed := slices.ContainsFunc(typ.Zones, func(z unit.Zone) bool { return s.Allows(typ.Name, z, false) })
+		allowed := slices.ContainsFunc(typ.ZonesIn(t.c.set.Params.Zones), func(z unit.Zone) bool { return s.Allows(typ.Name, z, false) })
 		if allowed && typ.Capacity.Fits(s.Need()) {
 			fastest = min(fastest, typ.Boot)
 		}
--- a/internal/controller/rounds_test.go
+++ b/internal/controller/rounds_test.go
@@ -355,4 +355,10 @@
 	if !slices.Equal(kept, []unit.Class{"fast", "small"}) {
 		t.Errorf("room is kept for %v", kept)
 	}
+	for _, typ := range g.core.types {
+		typ.Zones = nil // the cloud names none: all zones
+	}
+	if again := tm.spares(); len(again) != len(kept) {
+		t.Errorf("room is kept for %d classes where types name no zones, want %d", len(again), len(kept))
+	}
 }
--- a/internal/controller/shortlease_test.go
+++ b/internal/controller/shortlease_test.go
@@ -25,16 +25,22 @@
 	return s
 }
 
+// shortLeaseDay returns a sim with short leases in which replicas and an array run.
+func shortLeaseDay(t *testing.T, seed uint64, array time.Duration) *sim {
+	s := newSimWith(t, seed, shortLeases)
+	s.submit(1, spread, 0)
+	s.submit(2, batch, array)
+	s.run(40 * time.Second)
+	return s
+}
+
 // TestLostLeaderWithShortLeases takes the leader off the network: each worker waits
 // 4 s for an answer that never comes and tries the next node a second later. With a
 // leader lease of 6 s whatever the workers' was, no node could answer them by then,
 // they came back to the lost one, and two thirds of them lost their tasks.
 func TestLostLeaderWithShortLeases(t *testing.T) {
 	eachSeed(t, 12, func(t *testing.T, seed uint64) {
-		s := newSimWith(t, 400+seed, shortLeases)
-		s.submit(1, spread, 0)
-		s.submit(2, batch, 5*time.Minute)
-		s.run(40 * time.Second)
+		s := shortLeaseDay(t, 400+seed, 5*time.Minute)
 		workers := 0
 		for _, h := range s.cloud.Machines {
 			if h.Worker != nil && h.Worker.Session == 1 {
@@ -64,10 +70,7 @@
 // nodes do.
 func TestCutZoneWithShortLeases(t *testing.T) {
 	eachSeed(t, 24, func(t *testing.T, seed uint64) {
-		s := newSimWith(t, 500+seed, shortLeases)
-		s.submit(1, spread, 0)
-		s.submit(2, batch, 2*time.Minute)
-		s.run(40 * time.Second)
+		s := shortLeaseDay(t, 500+seed, 2*time.Minute)
 		l := s.leader()
 		if l == nil {
 			t.Fatal("nobody leads")
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -20,6 +20,15 @@
 	Zones     []unit.Zone
 }
 
+// ZonesIn returns the zones of the deployment in which the cloud has the type: all of
+// them if it names none.
+func (t *Type) ZonesIn(all []unit.Zone) []unit.Zone {
+	if len(t.Zones) > 0 {
+		return t.Zones
+	}
+	return all
+}
+
 // Machine is one machine as the leader knows it.
 type Machine struct {
 	ID      unit.MachineID
--- a/internal/round/rent.go
+++ b/internal/round/rent.go
@@ -94,7 +94,7 @@
 // eachOffer calls f for every kind of machine that the job allows.
 func (p *planner) eachOffer(j *checkpoint.Job, f func(rental.Offer, *fleet.Type)) {
 	for _, t := range p.w.Types {
-		for _, z := range p.zonesOf(t) {
+		for _, z := range t.ZonesIn(p.w.Zones) {
 			for _, spot := range []bool{true, false} {
 				if j.Spec.Allows(t.Name, z, spot) {
 					f(rental.Offer{Type: t.Name, Zone: z, Spot: spot}, t)
@@ -104,13 +104,6 @@
 	}
 }
 
-func (p *planner) zonesOf(t *fleet.Type) []unit.Zone {
-	if len(t.Zones) > 0 {
-		return t.Zones
-	}
-	return p.w.Zones
-}
-
 func (p *planner) cost(j *checkpoint.Job, t *fleet.Type, z unit.Zone, spot bool) float64 {
 	per := t.Capacity.Holds(j.Spec.Need())
 	if per == 0 {
--- a/internal/takeover/gate.go
+++ b/internal/takeover/gate.go
@@ -33,8 +33,7 @@
 	if g.LostRounds && since < g.longestPlacement() {
 		return false
 	}
-	interval := g.Workers.ReportInterval()
-	return since >= interval+interval/4 || g.Untouched || g.nearlyAllHeard(machines)
+	return since >= g.Workers.LongestReportGap() || g.Untouched || g.nearlyAllHeard(machines)
 }
 
 // longestPlacement is how long what an earlier leader started may run on a machine
--- a/internal/userapi/rules.go
+++ b/internal/userapi/rules.go
@@ -53,11 +53,7 @@
 func (r *Rules) mostOnOne(s *checkpoint.Spec) int {
 	most := 0
 	for _, t := range r.Types {
-		zones := t.Zones
-		if len(zones) == 0 {
-			zones = r.Zones
-		}
-		if slices.ContainsFunc(zones, func(z unit.Zone) bool { return s.Allows(t.Name, z, false) }) {
+		if slices.ContainsFunc(t.ZonesIn(r.Zones), func(z unit.Zone) bool { return s.Allows(t.Name, z, false) }) {
 			most = max(most, t.Capacity.Holds(s.Need()))
 		}
 	}
