A renewal of an earlier term's lease no longer counts for the present one

Cause: with a slow state service, a renewal that was under way as a node lost leadership was answered in its next term. The machine took it for the lease of that term, and stayed entitled for 0.2 s after its successor had the key.

Ruled out: the stand-in's leases, and the order of answers of one term.

Change: the answer names the lease, and is dropped if it is another one. A raise of the token names the epoch that it was sent under, likewise.

Test: TestAnswersOfAnEarlierTerm, which fails without the change.

--- a/internal/controller/leaderkey.go
+++ b/internal/controller/leaderkey.go
@@ -24,7 +24,7 @@
 	case leadership.Renew:
 		sent := n.clock.Now()
 		err := n.note(n.store.Extend(ctx, e.Tenure))
-		n.post(ctx, Lead{leadership.Renewed{Outcome: outcomeOf(err), Sent: sent}})
+		n.post(ctx, Lead{leadership.Renewed{Tenure: e.Tenure, Outcome: outcomeOf(err), Sent: sent}})
 	case leadership.Acquire:
 		v, err := n.store.Commit(ctx, holderTxn(e.Prev, e.Holder, e.Tenure))
 		n.post(ctx, Lead{leadership.Acquired{Outcome: outcomeOf(n.note(err)), Epoch: unit.Epoch(v)}})
@@ -82,11 +82,11 @@
 		case stamp > e.Prev:
 			out, v = leadership.OK, unit.Version(stamp)
 		default:
-			n.post(ctx, Lead{leadership.TokenSet{Outcome: leadership.Refused}})
+			n.post(ctx, Lead{leadership.TokenSet{Prev: e.Prev, Outcome: leadership.Refused}})
 			return
 		}
 	}
-	n.post(ctx, Lead{leadership.TokenSet{Outcome: leadership.OK, Epoch: unit.Epoch(v)}})
+	n.post(ctx, Lead{leadership.TokenSet{Prev: e.Prev, Outcome: leadership.OK, Epoch: unit.Epoch(v)}})
 }
 
 // outcomeOf sorts an error of the state service for the leadership machine.
--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -86,7 +86,7 @@
 				queue = append(queue, g.do(e))
 			case DoLead:
 				if r, ok := e.Effect.(leadership.Renew); ok && r.Tenure != 0 {
-					queue = append(queue, Lead{leadership.Renewed{Sent: g.now}})
+					queue = append(queue, Lead{leadership.Renewed{Tenure: r.Tenure, Sent: g.now}})
 				}
 			}
 		}
--- a/internal/controller/sim_nodes_test.go
+++ b/internal/controller/sim_nodes_test.go
@@ -238,14 +238,14 @@
 		if !s.sent(func() { err = s.state.Extend(s.now, e.Tenure) }) {
 			err = statestore.ErrUncertain
 		}
-		s.reply(n, life, Lead{leadership.Renewed{Outcome: outcomeOf(err), Sent: sent}})
+		s.reply(n, life, Lead{leadership.Renewed{Tenure: e.Tenure, Outcome: outcomeOf(err), Sent: sent}})
 	case leadership.Acquire:
 		v, err := s.tryCommit(holderTxn(e.Prev, e.Holder, e.Tenure))
 		s.reply(n, life, Lead{leadership.Acquired{Outcome: outcomeOf(err), Epoch: unit.Epoch(v)}})
 	case leadership.SetToken:
 		v, err := s.tryCommit(holderTxn(e.Prev, e.Holder, e.Tenure))
 		if err == nil {
-			s.reply(n, life, Lead{leadership.TokenSet{Outcome: leadership.OK, Epoch: unit.Epoch(v)}})
+			s.reply(n, life, Lead{leadership.TokenSet{Prev: e.Prev, Outcome: leadership.OK, Epoch: unit.Epoch(v)}})
 			return
 		}
 		s.after(150*time.Millisecond, func() { s.readBackToken(n, life, e) })
@@ -266,7 +266,7 @@
 	case leadership.GrantLease:
 		s.reply(n, life, Lead{leadership.Granted{Sent: sent}})
 	case leadership.Renew:
-		s.reply(n, life, Lead{leadership.Renewed{Outcome: leadership.Unknown, Sent: sent}})
+		s.reply(n, life, Lead{leadership.Renewed{Tenure: e.Tenure, Outcome: leadership.Unknown, Sent: sent}})
 	case leadership.Acquire:
 		s.reply(n, life, Lead{leadership.Acquired{Outcome: leadership.Unknown}})
 	case leadership.SetToken:
@@ -283,9 +283,9 @@
 	case h != e.Holder:
 		s.reply(n, life, Lead{leadership.Deposed{}})
 	case stamp > e.Prev:
-		s.reply(n, life, Lead{leadership.TokenSet{Outcome: leadership.OK, Epoch: stamp}})
+		s.reply(n, life, Lead{leadership.TokenSet{Prev: e.Prev, Outcome: leadership.OK, Epoch: stamp}})
 	default:
-		s.reply(n, life, Lead{leadership.TokenSet{Outcome: leadership.Refused}})
+		s.reply(n, life, Lead{leadership.TokenSet{Prev: e.Prev, Outcome: leadership.Refused}})
 	}
 }
 
--- a/internal/controller/stage_test.go
+++ b/internal/controller/stage_test.go
@@ -134,7 +134,7 @@
 	}
 	for range 40 {
 		g.now = g.now.Add(300 * time.Millisecond)
-		follow(g.core.Step(g.now, Lead{leadership.Renewed{Outcome: leadership.OK, Sent: g.now}}))
+		follow(g.core.Step(g.now, Lead{leadership.Renewed{Tenure: 1, Outcome: leadership.OK, Sent: g.now}}))
 		follow(g.core.Step(g.now, Tick{}))
 	}
 	if len(guards) < 2 {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -239,10 +239,10 @@
 }
 
 func (m *Machine) renewed(now unit.Instant, in Renewed) []Effect {
-	m.renewing = false
-	if m.phase != leading {
-		return nil
+	if m.phase != leading || in.Tenure != m.tenure {
+		return nil // of an earlier term, whose lease was another
 	}
+	m.renewing = false
 	switch in.Outcome {
 	case OK:
 		// Also right after the deadline: the key was bound to the lease all
@@ -277,7 +277,7 @@
 }
 
 func (m *Machine) tokenSet(in TokenSet) []Effect {
-	if m.phase != leading {
+	if m.phase != leading || in.Prev != m.epoch {
 		return nil
 	}
 	switch in.Outcome {
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -40,7 +40,7 @@
 	if m.Entitled(t0.Add(9900 * time.Millisecond)) {
 		t.Error("entitled up to the end of the lease, with no margin")
 	}
-	m.Step(t0.Add(3*time.Second), Renewed{Outcome: OK, Sent: t0.Add(2 * time.Second)})
+	m.Step(t0.Add(3*time.Second), Renewed{Tenure: 7, Outcome: OK, Sent: t0.Add(2 * time.Second)})
 	if m.Entitled(t0.Add(11900*time.Millisecond)) || !m.Entitled(t0.Add(11*time.Second)) {
 		t.Error("a renewal must count from when it was sent")
 	}
@@ -51,20 +51,48 @@
 func TestLateRenewalGoesOn(t *testing.T) {
 	m := elect(t, 5)
 	late := t0.Add(25 * time.Second)
-	m.Step(late, Renewed{Outcome: Unknown})
+	m.Step(late, Renewed{Tenure: 7, Outcome: Unknown})
 	if m.Entitled(late) || !m.Leads() {
 		t.Fatal("must lead without being entitled")
 	}
-	m.Step(late, Renewed{Outcome: OK, Sent: late})
+	m.Step(late, Renewed{Tenure: 7, Outcome: OK, Sent: late})
 	if !m.Entitled(late) || m.Epoch() != 5 {
 		t.Error("not entitled again after the renewal")
 	}
-	m.Step(late, Renewed{Outcome: Gone})
+	m.Step(late, Renewed{Tenure: 7, Outcome: Gone})
 	if m.Leads() {
 		t.Error("leads without a lease")
 	}
 }
 
+// TestAnswersOfAnEarlierTerm: a renewal that was under way as leadership was lost is
+// answered in the next term of the same node, and says nothing of its lease; nor does
+// a raise of the token. With a slow state service such a renewal kept a leader
+// entitled for 0.2 s after its successor had the key.
+func TestAnswersOfAnEarlierTerm(t *testing.T) {
+	m := elect(t, 5)
+	m.Step(t0, Tick{}) // renews lease 7
+	m.Step(t0, Deposed{})
+	m.Step(t0, KeyRead{OK: true})
+	m.Step(t0, Granted{OK: true, Tenure: 8, Sent: t0})
+	m.Step(t0, Acquired{Outcome: OK, Epoch: 9})
+	until := m.EntitledUntil()
+	late := t0.Add(4 * time.Second)
+	m.Step(late, Renewed{Tenure: 7, Outcome: OK, Sent: late})
+	if m.EntitledUntil() != until {
+		t.Error("entitled by the renewal of another lease")
+	}
+	m.Step(late, Renewed{Tenure: 7, Outcome: Gone})
+	if !m.Leads() {
+		t.Error("deposed by the end of another lease")
+	}
+	m.Step(late, RaiseToken{})
+	m.Step(late, TokenSet{Prev: 5, Outcome: OK, Epoch: 6})
+	if m.Epoch() != 9 || !m.Raising() {
+		t.Errorf("epoch %d by the raise of an earlier term", m.Epoch())
+	}
+}
+
 // TestLostAnswerIsReadBack: an acquisition without an answer counts only when
 // the key is seen to hold this very attempt.
 func TestLostAnswerIsReadBack(t *testing.T) {
@@ -111,7 +139,7 @@
 	if again := m.Step(t0, RaiseToken{}); again != nil {
 		t.Error("two raises at once")
 	}
-	m.Step(t0, TokenSet{Outcome: OK, Epoch: 12})
+	m.Step(t0, TokenSet{Prev: 5, Outcome: OK, Epoch: 12})
 	if m.Epoch() != 12 || m.Raising() || !m.Entitled(t0) {
 		t.Error("the raise did not take")
 	}
--- a/internal/leadership/messages.go
+++ b/internal/leadership/messages.go
@@ -32,11 +32,13 @@
 	}
 	// Renewed answers Renew.
 	Renewed struct {
+		Tenure  unit.Tenure
 		Outcome Outcome
 		Sent    unit.Instant
 	}
 	// TokenSet answers SetToken.
 	TokenSet struct {
+		Prev    unit.Epoch // of SetToken
 		Outcome Outcome
 		Epoch   unit.Epoch
 	}
