Leadership: heartbeats let a standby take over before the lease ends

Need: a leader that stops is missed only when its lease has ended, after 6 s.

Change: a leader with heartbeats writes a record under the stamp of its key every 0.8 s, and is entitled for 2.6 s after it sent the last one that was stored. A standby that has seen the same record for that long sets the leader key, guarded by the stamps of both. The record says how long its writer acts, so nodes with other settings keep to it; after a pause of its reads a standby begins anew.

Off, and not reachable yet.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -52,11 +52,23 @@
 	tenure     unit.Tenure
 	mine       Holder
 	epoch      unit.Epoch
-	until      unit.Instant // entitlement ends
+	leaseUntil unit.Instant // entitlement ends, by the lease
 	renewing   bool
 	nextTry    unit.Instant
 	raising    bool
 	standAfter unit.Instant // does not stand for election before
+
+	// Only with heartbeats.
+	nodes        []string     // all of them, sorted
+	silence      silence      // of the leader, seen by a standby
+	replicaReady bool         // this node could take over without reading all records
+	takingOver   bool         // the acquisition under way replaces a silent leader
+	acquireSent  unit.Instant // when the acquisition left
+	raiseSent    unit.Instant // when the last raise of the token left
+	beatUntil    unit.Instant // entitlement ends, by the heartbeats
+	nextBeat     unit.Instant
+	beating      int // heartbeats under way
+	hindrance    Hindrance
 }
 
 // New returns a machine for the node. Every process must give it a random
@@ -74,20 +86,29 @@
 // Entitled tells whether this node may act as leader at now: it leads and its
 // lease surely still runs.
 func (m *Machine) Entitled(now unit.Instant) bool {
-	return m.phase == leading && now.Before(m.until)
+	return m.phase == leading && now.Before(m.until())
+}
+
+// until is when entitlement ends: with the lease, or with the last heartbeat that
+// was stored.
+func (m *Machine) until() unit.Instant {
+	if !m.times.Heartbeat.enabled() {
+		return m.leaseUntil
+	}
+	return min(m.leaseUntil, m.beatUntil)
 }
 
-// EntitledUntil is when entitlement ends unless the lease is renewed.
+// EntitledUntil is when entitlement ends unless it is renewed.
 func (m *Machine) EntitledUntil() unit.Instant {
 	if m.phase != leading {
 		return 0
 	}
-	return m.until
+	return m.until()
 }
 
 // LastEntitled is when the last entitlement of this node ends, or has ended; 0
 // if it never had one.
-func (m *Machine) LastEntitled() unit.Instant { return m.until }
+func (m *Machine) LastEntitled() unit.Instant { return m.until() }
 
 // Leader is the node that was last seen to hold the key, or "".
 func (m *Machine) Leader() string {
@@ -122,6 +143,10 @@
 		return m.raise(now)
 	case Resign:
 		return m.resign(now, in)
+	case Beaten:
+		return m.beaten(now, in)
+	case ReplicaState:
+		m.replicaReady = in.Ready
 	}
 	return nil
 }
@@ -143,34 +168,49 @@
 }
 
 func (m *Machine) tickLeading(now unit.Instant) []Effect {
+	effects := m.beatIfDue(now)
 	if m.renewing || now.Before(m.nextTry) {
-		return nil
+		return effects
 	}
 	m.renewing = true
-	return []Effect{Renew{Tenure: m.tenure}}
+	return append(effects, Renew{Tenure: m.tenure})
 }
 
 // pollAgain sets the time of the next look, jittered so that nodes that
 // started together do not stay together.
 func (m *Machine) pollAgain(now unit.Instant) {
 	jitter := 0.7 + 0.6*m.rng.Float64()
-	m.nextPoll = now.Add(time.Duration(float64(m.times.Poll) * jitter))
+	poll := m.times.Poll
+	if m.times.Heartbeat.enabled() {
+		poll = min(poll, m.times.Heartbeat.Poll)
+	}
+	m.nextPoll = now.Add(time.Duration(float64(poll) * jitter))
 }
 
 func (m *Machine) keyRead(now unit.Instant, in KeyRead) []Effect {
 	m.busy = false
 	m.pollAgain(now)
-	if !in.OK || m.phase == leading {
+	if m.phase == leading {
+		return nil
+	}
+	if !in.OK {
+		m.hindrance = StateUnread
 		return nil
 	}
 	m.seen, m.stamp = in.Holder, in.Stamp
+	m.silence.observe(now, in)
 	if m.phase == acquiring && in.Stamp != 0 && in.Holder == m.mine {
 		// The answer to the acquisition was lost, but it was executed.
 		m.lead(now, in.Stamp)
 		return nil
 	}
+	m.takingOver = false
 	if !m.mayStand(now) {
-		return nil
+		if !m.leaderSilent(now) {
+			m.noteHindrance(now)
+			return nil
+		}
+		m.takingOver = true
 	}
 	m.phase, m.busy = granting, true
 	return []Effect{GrantLease{Life: m.times.Life}}
@@ -196,10 +236,15 @@
 		return nil
 	}
 	m.tenure = in.Tenure
-	m.until = m.entitlement(in.Sent)
+	m.leaseUntil = m.entitlement(in.Sent)
 	m.mine = Holder{Node: m.node, Nonce: m.nonce()}
 	m.phase, m.busy = acquiring, true
-	return []Effect{Acquire{Prev: m.stamp, Holder: m.mine, Tenure: m.tenure}}
+	m.acquireSent = now
+	acquire := Acquire{Prev: m.stamp, Holder: m.mine, Tenure: m.tenure, Heartbeat: m.heartbeat()}
+	if m.takingOver {
+		acquire.Silent = m.silence.stamp
+	}
+	return []Effect{acquire}
 }
 
 func (m *Machine) nonce() string {
@@ -225,6 +270,9 @@
 		m.nextPoll = now
 	default:
 		m.phase = following
+		if m.takingOver {
+			m.hindrance = TakeoverConflict
+		}
 		m.pollAgain(now)
 		return []Effect{Release{Tenure: m.tenure}}
 	}
@@ -236,6 +284,9 @@
 	m.seen, m.stamp = m.mine, epoch
 	m.renewing, m.raising = false, false
 	m.nextTry = now
+	m.beatUntil = m.heartbeatEntitlement(m.acquireSent)
+	m.nextBeat = m.acquireSent.Add(m.times.Heartbeat.Interval)
+	m.beating, m.hindrance = 0, NoHindrance
 }
 
 func (m *Machine) renewed(now unit.Instant, in Renewed) []Effect {
@@ -247,9 +298,7 @@
 	case OK:
 		// Also right after the deadline: the key was bound to the lease all
 		// along, so nobody else can have set it in between.
-		if until := m.entitlement(in.Sent); m.until.Before(until) {
-			m.until = until
-		}
+		m.leaseUntil = max(m.leaseUntil, m.entitlement(in.Sent))
 		m.nextTry = in.Sent.Add(m.times.Renew)
 	case Gone:
 		m.depose(now)
@@ -265,6 +314,7 @@
 	}
 	m.phase, m.epoch, m.raising, m.busy = following, 0, false, false
 	m.seen, m.stamp = Holder{}, 0
+	m.silence = silence{}
 	m.nextPoll = now
 }
 
@@ -272,8 +322,8 @@
 	if !m.Entitled(now) || m.raising {
 		return nil
 	}
-	m.raising = true
-	return []Effect{SetToken{Prev: m.epoch, Holder: m.mine, Tenure: m.tenure}}
+	m.raising, m.raiseSent = true, now
+	return []Effect{SetToken{Prev: m.epoch, Holder: m.mine, Tenure: m.tenure, Heartbeat: m.heartbeat()}}
 }
 
 func (m *Machine) tokenSet(in TokenSet) []Effect {
@@ -283,6 +333,7 @@
 	switch in.Outcome {
 	case OK:
 		m.raising, m.epoch, m.stamp = false, in.Epoch, in.Epoch
+		m.beatUntil = max(m.beatUntil, m.heartbeatEntitlement(m.raiseSent))
 	case Refused:
 		m.raising = false
 	}
--- a/internal/leadership/messages.go
+++ b/internal/leadership/messages.go
@@ -18,6 +18,10 @@
 		OK     bool
 		Holder Holder
 		Stamp  unit.Epoch
+		// Heartbeat is what HeartbeatKey holds. HeartbeatStamp 0: nothing, or it
+		// was not read.
+		Heartbeat      Heartbeat
+		HeartbeatStamp unit.Version
 	}
 	// Granted answers GrantLease.
 	Granted struct {
@@ -46,6 +50,14 @@
 	Deposed struct{}
 	// RaiseToken asks for a higher epoch of the same leader.
 	RaiseToken struct{}
+	// Beaten answers Beat. Gone: Key is no longer what it was under that epoch.
+	Beaten struct {
+		Epoch   unit.Epoch
+		Outcome Outcome
+		Sent    unit.Instant
+	}
+	// ReplicaState says whether this node has a complete replica of the records.
+	ReplicaState struct{ Ready bool }
 	// Resign asks to give leadership up, to the node Heir if one is named.
 	Resign struct {
 		Cooldown time.Duration
@@ -53,15 +65,17 @@
 	}
 )
 
-func (Tick) leadership()       {}
-func (KeyRead) leadership()    {}
-func (Granted) leadership()    {}
-func (Acquired) leadership()   {}
-func (Renewed) leadership()    {}
-func (TokenSet) leadership()   {}
-func (Deposed) leadership()    {}
-func (RaiseToken) leadership() {}
-func (Resign) leadership()     {}
+func (Tick) leadership()         {}
+func (KeyRead) leadership()      {}
+func (Granted) leadership()      {}
+func (Acquired) leadership()     {}
+func (Renewed) leadership()      {}
+func (TokenSet) leadership()     {}
+func (Deposed) leadership()      {}
+func (RaiseToken) leadership()   {}
+func (Resign) leadership()       {}
+func (Beaten) leadership()       {}
+func (ReplicaState) leadership() {}
 
 // Outcome of a request to the state service.
 type Outcome int
@@ -83,19 +97,31 @@
 	ReadKey struct{}
 	// GrantLease asks for a lease.
 	GrantLease struct{ Life time.Duration }
-	// Acquire sets the key if it still has the stamp Prev.
+	// Acquire sets the key if it still has the stamp Prev, and the first heartbeat
+	// with it if there is one.
 	Acquire struct {
-		Prev   unit.Epoch
-		Holder Holder
-		Tenure unit.Tenure
+		Prev      unit.Epoch
+		Holder    Holder
+		Tenure    unit.Tenure
+		Heartbeat *Heartbeat
+		// Silent guards a takeover from a leader that still holds the key: the
+		// stamp of its last heartbeat. 0: the key is free, or of this node.
+		Silent unit.Version
 	}
 	// Renew extends the lease.
 	Renew struct{ Tenure unit.Tenure }
-	// SetToken sets the key again, guarded by its own stamp.
+	// SetToken sets the key again, guarded by its own stamp; a heartbeat goes with
+	// it if there is one.
 	SetToken struct {
-		Prev   unit.Epoch
-		Holder Holder
-		Tenure unit.Tenure
+		Prev      unit.Epoch
+		Holder    Holder
+		Tenure    unit.Tenure
+		Heartbeat *Heartbeat
+	}
+	// Beat writes a heartbeat if the key still has the stamp Epoch.
+	Beat struct {
+		Epoch     unit.Epoch
+		Heartbeat Heartbeat
 	}
 	// HandOver sets the key to another node's name, guarded by its own stamp
 	// and bound to the same lease. That node takes it for a key of its own and
@@ -116,3 +142,4 @@
 func (SetToken) effect()   {}
 func (HandOver) effect()   {}
 func (Release) effect()    {}
+func (Beat) effect()       {}
--- a/internal/leadership/times.go
+++ b/internal/leadership/times.go
@@ -7,6 +7,8 @@
 	Life  time.Duration // of the lease
 	Renew time.Duration // between renewals
 	Poll  time.Duration // between looks at the key by a node that does not lead
+	// Heartbeat lets a standby take over before the lease ends.
+	Heartbeat HeartbeatTimes
 }
 
 const (
