Features are sections of the operators' script, checked against a JSON Schema

Need: new parts of the service are enabled by a file under deploy/, all by the same mechanism, and a mistake must be named by its field before anything starts.

Change: a global of the script that is a section of internal/feature is turned into a JSON value and checked by a schema of our own (santhosh-tekuri/jsonschema).

Tests: mistakes name the field on one line, also lists that hold themselves.

--- /dev/null
+++ b/internal/feature/check.go
@@ -0,0 +1,40 @@
+package feature
+
+import (
+	"fmt"
+
+	"badgerbay/internal/config"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/statestore"
+)
+
+// heartbeatShare is the part of the state service's changes that heartbeats may
+// take.
+const heartbeatShare = 0.1
+
+// Check tells whether the features can work with the settings of the deployment.
+func (s Set) Check(p config.Params) error {
+	if s.WarmStandby == nil {
+		return nil
+	}
+	return s.WarmStandby.check(p)
+}
+
+func (w *WarmStandby) check(p config.Params) error {
+	wrong := func(field, format string, args ...any) error {
+		return &Error{Field: "policy.warm_standby." + field, Reason: fmt.Sprintf(format, args...)}
+	}
+	if least := leadership.LeastHeartbeatLife(w.Heartbeat, statestore.RequestTimeout); w.Takeover < least {
+		return wrong("takeover_s", "%v leaves no room for a heartbeat every %v that takes up to %v: at least %v", w.Takeover, w.Heartbeat, statestore.RequestTimeout, least)
+	}
+	if 3*w.Poll > w.Takeover {
+		return wrong("poll_s", "%v is too seldom to see a leader silent for %v: a third of that at most", w.Poll, w.Takeover)
+	}
+	if rate, most := 1/w.Heartbeat.Seconds(), heartbeatShare*p.State.Tight().WriteRPS; rate > most {
+		return wrong("heartbeat_s", "%.2f changes a second are more than a tenth of the state service's %v", rate, p.State.Tight().WriteRPS)
+	}
+	if most := p.MachineLimits.MemMB / 3; w.ReplicaMB > most {
+		return wrong("replica_mb", "%v MB are more than a third of the %v MB that the node has", w.ReplicaMB, p.MachineLimits.MemMB)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/feature/feature.go
@@ -0,0 +1,125 @@
+// Package feature holds the features that operators enable in their script, a
+// section for each. What the script evaluates to is checked against a JSON Schema,
+// so that a mistake is named by its field before anything starts.
+package feature
+
+import (
+	"bytes"
+	_ "embed"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"badgerbay/internal/unit"
+)
+
+//go:embed features.schema.json
+var schemaText []byte
+
+const schemaURL = "features.schema.json"
+
+// Set is the features of one node. The zero value enables none.
+type Set struct {
+	WarmStandby *WarmStandby // nil: off
+}
+
+// WarmStandby are the settings of the warm standby.
+type WarmStandby struct {
+	Heartbeat time.Duration // between two heartbeats of the leader
+	Takeover  time.Duration // a leader acts for so long after a heartbeat, at most
+	Poll      time.Duration // between two looks at the heartbeat
+	Sync      time.Duration // between two looks at the changes of the records
+	ReplicaMB float64       // what the replica may hold
+}
+
+// Defaults of the warm standby, for what a section leaves out.
+const (
+	defaultHeartbeat = 800 * time.Millisecond
+	defaultTakeover  = 2600 * time.Millisecond
+	defaultPoll      = 250 * time.Millisecond
+	defaultSync      = time.Second
+	defaultReplicaMB = 24
+)
+
+// Error names the field of a section that is wrong.
+type Error struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error on one line.
+func (e *Error) Error() string { return e.Field + ": " + e.Reason }
+
+// schema compiles the schema once. Names are sections of the schema.
+var schema = sync.OnceValue(func() *jsonschema.Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		panic(fmt.Sprintf("%s: %v", schemaURL, err))
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(schemaURL, doc); err != nil {
+		panic(fmt.Sprintf("%s: %v", schemaURL, err))
+	}
+	return c.MustCompile(schemaURL)
+})
+
+// Names lists the sections that exist.
+func Names() []string { return slices.Sorted(maps.Keys(schema().Properties)) }
+
+// Decode checks the sections, given as JSON values by their names, and returns the
+// features that they enable. A section that is null is off.
+func Decode(sections map[string]any) (Set, error) {
+	enabled := make(map[string]any, len(sections))
+	for name, section := range sections {
+		if section != nil {
+			enabled[name] = section
+		}
+	}
+	if err := schema().Validate(enabled); err != nil {
+		return Set{}, fieldError(err)
+	}
+	var s Set
+	if section, ok := enabled["warm_standby"].(map[string]any); ok {
+		s.WarmStandby = warmStandby(section)
+	}
+	return s, nil
+}
+
+// fieldError names the first field that does not keep to the schema.
+func fieldError(err error) error {
+	var ve *jsonschema.ValidationError
+	if !errors.As(err, &ve) {
+		return &Error{Field: "features", Reason: err.Error()}
+	}
+	for len(ve.Causes) > 0 {
+		ve = ve.Causes[0]
+	}
+	path := slices.Clone(ve.InstanceLocation)
+	if extra, ok := ve.ErrorKind.(*kind.AdditionalProperties); ok && len(extra.Properties) > 0 {
+		return &Error{Field: strings.Join(append(path, extra.Properties[0]), "."), Reason: "is not a setting"}
+	}
+	reason := ve.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+	return &Error{Field: strings.Join(path, "."), Reason: strings.ReplaceAll(reason, "\n", " ")}
+}
+
+func warmStandby(section map[string]any) *WarmStandby {
+	w := &WarmStandby{Heartbeat: defaultHeartbeat, Takeover: defaultTakeover, Poll: defaultPoll, Sync: defaultSync, ReplicaMB: defaultReplicaMB}
+	for name, field := range map[string]*time.Duration{"heartbeat_s": &w.Heartbeat, "takeover_s": &w.Takeover, "poll_s": &w.Poll, "sync_s": &w.Sync} {
+		if s, ok := section[name].(float64); ok {
+			*field = unit.Seconds(s)
+		}
+	}
+	if mb, ok := section["replica_mb"].(float64); ok {
+		w.ReplicaMB = mb
+	}
+	return w
+}
--- /dev/null
+++ b/internal/feature/feature_test.go
@@ -0,0 +1,79 @@
+package feature
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"badgerbay/internal/config"
+)
+
+func TestSectionsAreDecoded(t *testing.T) {
+	off, err := Decode(map[string]any{"warm_standby": nil})
+	if err != nil || off.WarmStandby != nil {
+		t.Errorf("a section that is null: %+v, %v", off, err)
+	}
+	on, err := Decode(map[string]any{"warm_standby": map[string]any{"takeover_s": 3.5}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := WarmStandby{Heartbeat: defaultHeartbeat, Takeover: 3500 * time.Millisecond, Poll: defaultPoll, Sync: defaultSync, ReplicaMB: defaultReplicaMB}
+	if *on.WarmStandby != want {
+		t.Errorf("%+v, want %+v", *on.WarmStandby, want)
+	}
+}
+
+// TestMistakesNameTheField: each mistake is one line that begins with the field.
+func TestMistakesNameTheField(t *testing.T) {
+	for field, sections := range map[string]map[string]any{
+		"cold_standby":             {"cold_standby": map[string]any{}},
+		"warm_standby":             {"warm_standby": true},
+		"warm_standby.takeover":    {"warm_standby": map[string]any{"takeover": 3.0}},
+		"warm_standby.takeover_s":  {"warm_standby": map[string]any{"takeover_s": "soon"}},
+		"warm_standby.heartbeat_s": {"warm_standby": map[string]any{"heartbeat_s": 0.0}},
+		"warm_standby.replica_mb":  {"warm_standby": map[string]any{"replica_mb": -1.0}},
+		"warm_standby.sync_s":      {"warm_standby": map[string]any{"sync_s": 1e9}},
+		"warm_standby.poll_s":      {"warm_standby": map[string]any{"poll_s": []any{}}},
+	} {
+		_, err := Decode(sections)
+		var fe *Error
+		if !errors.As(err, &fe) || fe.Field != field || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v: %v, want one line naming %s", sections, err, field)
+		}
+	}
+}
+
+// TestTimesThatCannotWork: what keeps to the schema may still not fit together, or
+// not fit the deployment.
+func TestTimesThatCannotWork(t *testing.T) {
+	deployment := config.Params{State: config.State{WriteRPS: 20}, MachineLimits: config.Limits{MemMB: 98}}
+	slow := deployment
+	slow.State.Next = &config.StateLimits{WriteRPS: 8}
+	for _, c := range []struct {
+		field   string
+		section map[string]any
+		params  config.Params
+	}{
+		{"", map[string]any{}, deployment},
+		{"takeover_s", map[string]any{"takeover_s": 2.0}, deployment},
+		{"takeover_s", map[string]any{"heartbeat_s": 2.0}, deployment},
+		{"poll_s", map[string]any{"poll_s": 1.0}, deployment},
+		{"heartbeat_s", map[string]any{"heartbeat_s": 0.4}, deployment},
+		{"heartbeat_s", map[string]any{}, slow},
+		{"replica_mb", map[string]any{"replica_mb": 40.0}, deployment},
+	} {
+		set, err := Decode(map[string]any{"warm_standby": c.section})
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = set.Check(c.params)
+		var fe *Error
+		switch {
+		case c.field == "" && err != nil:
+			t.Errorf("the defaults are refused: %v", err)
+		case c.field != "" && (!errors.As(err, &fe) || fe.Field != "policy.warm_standby."+c.field):
+			t.Errorf("%v: %v, want %s named", c.section, err, c.field)
+		}
+	}
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -4,15 +4,18 @@
 
 import (
 	_ "embed"
+	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"reflect"
-	"sort"
+	"slices"
 	"time"
 
 	"go.starlark.net/starlark"
 	"go.starlark.net/syntax"
 
+	"badgerbay/internal/feature"
 	"badgerbay/internal/unit"
 )
 
@@ -48,6 +51,9 @@
 	Guarantee     float64       `star:"guarantee_share" min:"0" max:"2"`
 	GuaranteeHold time.Duration `star:"guarantee_hold_s" min:"0" max:"3600"`
 	PreferSpot    bool          `star:"prefer_spot"`
+
+	// Features are the sections of package feature, each a dictionary.
+	Features feature.Set
 }
 
 // Error names the setting that is wrong.
@@ -94,15 +100,20 @@
 	if err != nil {
 		return err
 	}
-	fields := map[string]int{}
-	t := reflect.TypeFor[Policy]()
-	for i := range t.NumField() {
-		fields[t.Field(i).Tag.Get("star")] = i
-	}
+	fields := settings()
+	sections := map[string]any{}
 	for _, key := range globals.Keys() {
 		if key[0] == '_' {
 			continue
 		}
+		if slices.Contains(feature.Names(), key) {
+			section, err := jsonValue(globals[key])
+			if err != nil {
+				return &Error{key, err.Error()}
+			}
+			sections[key] = section
+			continue
+		}
 		i, ok := fields[key]
 		if _, isFunc := globals[key].(*starlark.Function); isFunc && !ok {
 			continue
@@ -114,16 +125,37 @@
 			return err
 		}
 	}
-	return nil
+	return p.enable(sections)
 }
 
-func known(fields map[string]int) []string {
-	var out []string
-	for k := range fields {
-		out = append(out, k)
+// settings returns the fields of Policy by the names of their settings.
+func settings() map[string]int {
+	fields := map[string]int{}
+	t := reflect.TypeFor[Policy]()
+	for i := range t.NumField() {
+		if name, ok := t.Field(i).Tag.Lookup("star"); ok {
+			fields[name] = i
+		}
+	}
+	return fields
+}
+
+// enable takes in the features that a script sets.
+func (p *Policy) enable(sections map[string]any) error {
+	if len(sections) == 0 {
+		return nil
+	}
+	features, err := feature.Decode(sections)
+	var wrong *feature.Error
+	if errors.As(err, &wrong) {
+		return &Error{wrong.Field, wrong.Reason}
 	}
-	sort.Strings(out)
-	return out
+	p.Features = features
+	return err
+}
+
+func known(fields map[string]int) []string {
+	return slices.Sorted(slices.Values(append(feature.Names(), slices.Collect(maps.Keys(fields))...)))
 }
 
 func evaluate(name, script string) (starlark.StringDict, error) {
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -21,6 +21,19 @@
 	}
 }
 
+func TestScriptEnablesFeatures(t *testing.T) {
+	p, err := Parse("site.star", "warm_standby = {'heartbeat_s': 1, 'takeover_s': 3}")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := p.Features.WarmStandby; w == nil || w.Heartbeat != time.Second || w.Takeover != 3*time.Second {
+		t.Errorf("%+v", w)
+	}
+	if off, err := Parse("site.star", "warm_standby = None"); err != nil || off.Features.WarmStandby != nil {
+		t.Errorf("%+v, %v", off, err)
+	}
+}
+
 func TestBadScriptsNameTheField(t *testing.T) {
 	for script, field := range map[string]string{
 		"idle_return_s = 'long'":        "policy.idle_return_s",
@@ -34,6 +47,16 @@
 		"def f():\n  pass\nx = f(1)":    "policy.script",
 		"x = [i for i in range(10**9)]": "policy.script",
 		"load('other.star', 'x')":       "policy.script",
+
+		"warm_standby = True":                               "policy.warm_standby",
+		"warm_standby = {'takeover': 3}":                    "policy.warm_standby.takeover",
+		"warm_standby = {'takeover_s': 'soon'}":             "policy.warm_standby.takeover_s",
+		"warm_standby = {1: 2}":                             "policy.warm_standby",
+		"warm_standby = {'poll_s': len}":                    "policy.warm_standby",
+		"warm_standby = {'takeover_s': int('9' * 400)}":     "policy.warm_standby",
+		"x = []\nx.append(x)\nwarm_standby = {'poll_s': x}": "policy.warm_standby",
+		"warm_standby = {'heartbeat_s': float('nan')}":      "policy.warm_standby",
+		"cold_standby = {}":                                 "policy.cold_standby",
 	} {
 		_, err := Parse("site.star", script)
 		var pe *Error
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -116,9 +116,10 @@
 const (
 	// maxAnswer bounds what is read of one answer. Watches have no limit of
 	// their own at the service.
-	maxAnswer      = 8 << 20
-	requestTimeout = 1500 * time.Millisecond
-	listPage       = 500
+	maxAnswer = 8 << 20
+	listPage  = 500
+	// RequestTimeout is how long a request waits for its answer.
+	RequestTimeout = 1500 * time.Millisecond
 )
 
 // Client speaks to the state service.
@@ -192,7 +193,7 @@
 
 // Get reads a key. A key that does not exist has stamp 0.
 func (c *Client) Get(ctx context.Context, key string) (Item, error) {
-	status, r, err := c.call(ctx, requestTimeout, http.MethodGet, "/kv/"+key, nil)
+	status, r, err := c.call(ctx, RequestTimeout, http.MethodGet, "/kv/"+key, nil)
 	if err != nil {
 		return Item{}, fmt.Errorf("get %s: %w", key, err)
 	}
@@ -216,7 +217,7 @@
 		if since != "" {
 			q.Set("since", since)
 		}
-		_, r, err := c.call(ctx, 2*requestTimeout, http.MethodGet, "/kv?"+q.Encode(), nil)
+		_, r, err := c.call(ctx, 2*RequestTimeout, http.MethodGet, "/kv?"+q.Encode(), nil)
 		if err != nil {
 			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
 		}
@@ -234,7 +235,7 @@
 // Commit applies a transaction and returns its revision, which is the new
 // version of every key it set.
 func (c *Client) Commit(ctx context.Context, t Txn) (unit.Version, error) {
-	status, r, err := c.call(ctx, requestTimeout, http.MethodPost, "/multi", t)
+	status, r, err := c.call(ctx, RequestTimeout, http.MethodPost, "/multi", t)
 	if err != nil {
 		return 0, fmt.Errorf("commit: %w", err)
 	}
@@ -250,7 +251,7 @@
 // Grant asks for a lease.
 func (c *Client) Grant(ctx context.Context, life time.Duration) (unit.Tenure, error) {
 	body := map[string]any{"lifeMs": life.Milliseconds()}
-	status, r, err := c.call(ctx, requestTimeout, http.MethodPost, "/leases", body)
+	status, r, err := c.call(ctx, RequestTimeout, http.MethodPost, "/leases", body)
 	if err != nil {
 		return 0, fmt.Errorf("grant: %w", err)
 	}
@@ -263,7 +264,7 @@
 // Extend renews a lease; ErrNoLease means that it has ended.
 func (c *Client) Extend(ctx context.Context, t unit.Tenure) error {
 	path := fmt.Sprintf("/leases/%d/extend", t)
-	status, _, err := c.call(ctx, requestTimeout, http.MethodPost, path, map[string]any{})
+	status, _, err := c.call(ctx, RequestTimeout, http.MethodPost, path, map[string]any{})
 	if err != nil {
 		return fmt.Errorf("extend: %w", err)
 	}
@@ -275,7 +276,7 @@
 
 // Revoke ends a lease at once.
 func (c *Client) Revoke(ctx context.Context, t unit.Tenure) error {
-	_, _, err := c.call(ctx, requestTimeout, http.MethodDelete, fmt.Sprintf("/leases/%d", t), nil)
+	_, _, err := c.call(ctx, RequestTimeout, http.MethodDelete, fmt.Sprintf("/leases/%d", t), nil)
 	return err
 }
 
@@ -284,7 +285,7 @@
 func (c *Client) Watch(ctx context.Context, prefix string, since unit.Version, hold time.Duration) ([]Change, unit.Version, error) {
 	q := url.Values{"prefix": {prefix}, "since": {strconv.FormatUint(uint64(since), 10)},
 		"holdMs": {strconv.FormatInt(hold.Milliseconds(), 10)}}
-	_, r, err := c.call(ctx, hold+requestTimeout, http.MethodGet, "/watch?"+q.Encode(), nil)
+	_, r, err := c.call(ctx, hold+RequestTimeout, http.MethodGet, "/watch?"+q.Encode(), nil)
 	if errors.Is(err, wire.ErrTooLarge) {
 		err = ErrCompacted
 	}
