--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -261,3 +261,78 @@
 	}
 	t.Error("not found")
 }
+
+var standbyDays = flag.Int("standbydays", 8, "days that TestWarmStandbyDays plays")
+
+// aroundTakeover draws a trouble of the kinds that meet a takeover: the leader stops,
+// and about when its standbys act, one of them dies or stands still, the nodes refuse
+// each other, or the state service is slow, away, or refuses one.
+func (s *sim) aroundTakeover() {
+	takeover := s.pol.Features.WarmStandby.Takeover
+	length := s.between(takeover/2, 4*takeover)
+	if l := s.leader(); l != nil {
+		switch s.rng.IntN(5) {
+		case 0:
+			s.crash(l, s.between(20*time.Millisecond, 2*takeover))
+		case 1, 2:
+			// Wakes before the takeover, in the middle of it, or after it.
+			s.frozen[l.index] = s.now.Add(s.between(takeover-time.Second, takeover+2*time.Second))
+		case 3:
+			s.refused[l.index] = true
+			s.after(length, func() { delete(s.refused, l.index) })
+		case 4:
+			s.cut[l.index] = true // it hands over
+			s.after(12*time.Second, func() { delete(s.cut, l.index) })
+		}
+	}
+	n := s.nodes[s.rng.IntN(3)]
+	s.after(s.between(takeover-time.Second, takeover+2*time.Second), func() {
+		switch s.rng.IntN(7) {
+		case 0:
+			s.crash(n, s.between(20*time.Millisecond, takeover))
+		case 1:
+			s.frozen[n.index] = s.now.Add(length)
+		case 2:
+			s.meshCut = true
+			s.after(length, func() { s.meshCut = false })
+		case 3:
+			s.slowState = s.between(200*time.Millisecond, 2*time.Second)
+			s.after(length, func() { s.slowState = 0 })
+		case 4:
+			s.state.Down = true
+			s.after(length, func() { s.state.Down = false })
+		case 5:
+			s.refused[n.index] = true
+			s.after(length, func() { delete(s.refused, n.index) })
+		case 6:
+			s.electAt = 1 + s.rng.IntN(4) // some node dies in its election
+		}
+	})
+}
+
+// TestWarmStandbyDays plays days on which takeovers meet a second trouble, again and
+// again, with lost and late messages, cancellations and machines that vanish.
+func TestWarmStandbyDays(t *testing.T) {
+	eachSeed(t, *standbyDays, func(t *testing.T, seed uint64) {
+		s := newSimOf(t, 700+seed, warmScript)
+		s.loss, s.dup, s.late, s.lateWrites = 0.01, 0.05, 0.05, 0.03
+		s.troubled = true
+		s.again(8*time.Second, 16*time.Second, s.aroundTakeover)
+		s.again(20*time.Second, 40*time.Second, func() {
+			if up := s.fleetOf(); len(up) > 0 {
+				s.take(up[s.rng.IntN(len(up))])
+			}
+		})
+		s.submitSteadily(120 * time.Second)
+		s.load()
+		s.after(5*time.Second, func() { s.cancelJob("wk-000003") })
+		s.after(40*time.Second, func() { s.cancelJob("wk-000004") })
+		s.run(130 * time.Second)
+		s.electAt = 0
+		s.finish()
+		t.Logf("%d takeovers with a replica, %d without", s.warmTakeovers, s.coldTakeovers)
+		if s.warmTakeovers < 3 {
+			t.Error("the day has hardly any takeovers")
+		}
+	})
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -365,3 +365,22 @@
 		t.Error("a machine that reports again gets nothing")
 	}
 }
+
+// TestAnswersCountAfterATakeover: a machine that answers a command may get tasks for
+// as long as its worker may still wait for the lost leader, and not for longer
+// without a report.
+func TestAnswersCountAfterATakeover(t *testing.T) {
+	const wait = 8 * time.Second
+	f := New(Times{Report: time.Second, Lease: 27 * time.Second, Return: wait}, epoch, t0, func(unit.JobID) *checkpoint.Job { return nil })
+	m := f.Ensure(t0, "host-1")
+	if !f.Overdue(t0, m) {
+		t.Error("a machine that nothing was heard of")
+	}
+	f.Take(t0, &Report{Machine: "host-1", Session: 1, Tally: 1}, false)
+	if f.Overdue(t0.Add(wait-time.Second), m) {
+		t.Error("its worker may still be waiting for the lost leader")
+	}
+	if !f.Overdue(t0.Add(wait), m) {
+		t.Error("it answers commands, and has not reported")
+	}
+}
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -63,6 +63,42 @@
 	}
 }
 
+// TestAsking: machines that were asked are waited for until they have answered, or
+// most have and the others had the time; a leader that hardly anybody answers waits
+// as if it had asked none.
+func TestAsking(t *testing.T) {
+	for _, c := range []struct {
+		what   string
+		silent int
+		whole  bool
+		after  time.Duration
+		open   bool
+	}{
+		{"all have answered", 0, true, 0, true},
+		{"not all were asked yet", 0, false, 0, false},
+		{"some have not answered yet", 5, true, 500 * time.Millisecond, false},
+		{"some do not answer", 5, true, answerWithin, true},
+		{"most do not answer", 11, true, answerWithin, false},
+	} {
+		f := fleet.New(fleet.Times{}, epoch, acquired, func(unit.JobID) *checkpoint.Job { return nil })
+		for i := range 20 {
+			f.Ensure(acquired, unit.MachineID(rune('a'+i))).Addr = "127.0.0.1:1"
+		}
+		var asking Asking
+		asked := f.Unheard(20)
+		asking.Sent(acquired, len(asked), !c.whole)
+		for _, m := range asked[c.silent:] {
+			f.Take(acquired, &fleet.Report{Machine: m.ID, Session: 1, Tally: 1}, false)
+		}
+		if got := asking.answered(acquired.Add(c.after), f.Machines()); got != c.open {
+			t.Errorf("%s: %v", c.what, got)
+		}
+		if again := f.Unheard(20); len(again) != 0 {
+			t.Errorf("%s: %d are asked twice", c.what, len(again))
+		}
+	}
+}
+
 // TestReadTellsWhatCannotBeRead: a record that can't be read is named, and the
 // others are read all the same.
 func TestReadTellsWhatCannotBeRead(t *testing.T) {
