Nodes that do not lead admit work within their allotments

Change, off unless the section team_quotas is there: a node that has stored a job offers it to its holder; holders ask the leader over the mesh; the leader's ledger reads, changes and answers once a second as long as anything is allotted. Plans keep free of a limit what is held beside what is placed, and tell what that blocks, so that idle units are recalled. The check of limits over all placements is unchanged. badgerbay quota shows how nodes and teams stand. Every node keeps to allotments, with the section or without; a version before is told apart by saying nothing.

Found on the way, in tests: a holder that was fenced between two looks of the leader waited for its answer for good; a leader now answers once it has looked again.

Cost with the section off: one request at each takeover.

--- a/cmd/badgerbay/client.go
+++ b/cmd/badgerbay/client.go
@@ -93,6 +93,12 @@
 // Run prints how the node stands to the leader.
 func (c *standbyCmd) Run() error { return c.call(http.MethodGet, "/standby", nil) }
 
+type quotaCmd struct{ clientFlags }
+
+// Run prints what the node holds of the teams' limits and, at the leader, how the teams
+// stand.
+func (c *quotaCmd) Run() error { return c.call(http.MethodGet, "/quota", nil) }
+
 func (c *clientFlags) call(method, path string, body []byte) error {
 	req, err := http.NewRequest(method, "http://"+c.Addr+path, bytes.NewReader(body))
 	if err != nil {
--- a/cmd/badgerbay/main.go
+++ b/cmd/badgerbay/main.go
@@ -32,6 +32,7 @@
 	Submit  submitCmd  `cmd:"" help:"Submit a job from a JSON file."`
 	Status  statusCmd  `cmd:"" help:"Print the state of a job."`
 	Cancel  cancelCmd  `cmd:"" help:"Cancel a job." aliases:"withdraw"`
+	Quota   quotaCmd   `cmd:"" help:"Show what a node holds of the teams' limits; at the leader, how the teams stand."`
 	Standby standbyCmd `cmd:"" help:"Tell whether a node is ready to take over from the leader."`
 }
 
--- a/deploy/run.star
+++ b/deploy/run.star
@@ -12,3 +12,7 @@
     "heartbeat_s": 0.8,
     "takeover_s": 2.6,
 }
+
+# A node that does not lead admits work within what the leader has allotted to it of
+# the teams' limits; see docs/quota.md. {} enables it.
+team_quotas = None
--- a/internal/checkpoint/job.go
+++ b/internal/checkpoint/job.go
@@ -65,6 +65,7 @@
 	Seq, Stored uint64       // changes made, changes stored
 	StoredRound unit.RoundNo
 	StoredPhase Phase
+	StoredDone  int // tasks that the record counts as done
 	DirtySince  unit.Instant
 	Writing     bool
 
@@ -88,7 +89,7 @@
 func NewJob(id unit.JobID, r *Record, version unit.Version, now unit.Instant) *Job {
 	j := &Job{ID: id, Spec: r.Spec, Accepted: r.Accepted, Phase: r.Phase, Done: r.Done.Clone(),
 		Live: map[unit.TaskIndex]*Placement{}, Round: r.Round, Version: version,
-		StoredRound: r.Round, StoredPhase: r.Phase, StoredFirst: r.FirstPart, ByZone: map[unit.Zone]int{}, QueuedAt: now, Known: now}
+		StoredRound: r.Round, StoredPhase: r.Phase, StoredFirst: r.FirstPart, StoredDone: r.Done.Len(), ByZone: map[unit.Zone]int{}, QueuedAt: now, Known: now}
 	if !j.Phase.Final() {
 		j.Queue = gaps(j.Done, j.Spec.Tasks)
 	}
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -57,6 +57,19 @@
 	return size > limits.ValueBytes() || len(t.Writes) > limits.TxnOps
 }
 
+// settledBy is the key by which it is found out whether a transaction was carried out:
+// that of its first change, which its second guard names.
+func settledBy(t statestore.Txn) string { return t.Writes[0].Set + t.Writes[0].Remove }
+
+// carriedOut tells by that key whether a transaction of the leader was carried out:
+// nobody else changes it, so what has changed was changed by it.
+func carriedOut(t statestore.Txn, item statestore.Item) bool {
+	if t.Writes[0].Remove != "" {
+		return item.Stamp != t.Guards[1].Stamp
+	}
+	return item.Stamp > t.Guards[1].Stamp
+}
+
 // settle judges a conflict. If the leader guard failed, this node is deposed.
 // After an unanswered try, a key that has moved on was moved by that try: only
 // the leader of this epoch changes these keys.
@@ -72,9 +85,9 @@
 		return done
 	}
 	for {
-		item, err := n.store.Get(ctx, c.Txn.Writes[0].Set)
+		item, err := n.store.Get(ctx, settledBy(c.Txn))
 		if n.note(err) == nil {
-			if item.Stamp > c.Txn.Guards[1].Stamp {
+			if carriedOut(c.Txn, item) {
 				done.Outcome, done.Version, done.Failed = leadership.OK, item.Stamp, nil
 			}
 			return done
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -12,6 +12,7 @@
 	"badgerbay/internal/handover"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/policy"
+	"badgerbay/internal/quota"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/userapi"
@@ -144,8 +145,7 @@
 	case after != 0:
 		c.log.Info("leading", "epoch", after)
 		c.budget.Lead(now, true)
-		c.term = newTerm(c, now, after)
-		c.emit(LoadAll{Epoch: after})
+		c.begin(now, after)
 	default:
 		c.log.Info("no longer leading", "epoch", before)
 		c.grantSelf(now, before)
@@ -155,6 +155,18 @@
 	}
 }
 
+// begin begins a term.
+func (c *Core) begin(now unit.Instant, epoch unit.Epoch) {
+	ledger, err := quota.NewLedger(c.set.Params.TeamsByName(), c.pol.Features.TeamQuotas, epoch)
+	if err != nil {
+		c.emit(Stop{Err: err})
+		return
+	}
+	c.term = newTerm(c, now, epoch)
+	c.term.quota = ledger
+	c.emit(LoadAll{Epoch: epoch})
+}
+
 func (c *Core) take(now unit.Instant, in Input) {
 	switch in := in.(type) {
 	case Lead:
@@ -174,7 +186,12 @@
 		if c.term != nil {
 			c.term.ledger.Attest(in.Node, in.Sent, now, in.Status.IdleFor)
 			c.term.cluster.Heard(now, in.Node, in.Form)
+			if in.Quotas {
+				c.term.keepsQuotas[in.Node] = now
+			}
 		}
+	case QuotaShown:
+		c.showQuotas(now, in)
 	case FlavorsDone:
 		c.flavors(in)
 	default:
--- a/internal/controller/effects.go
+++ b/internal/controller/effects.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"badgerbay/internal/fleet"
+	"badgerbay/internal/quota"
 	"badgerbay/internal/statestore"
 	"badgerbay/internal/wire"
 )
@@ -30,6 +31,12 @@
 		e.Ticket.(chan ReplyAsk) <- e
 	case ReplyPeer:
 		e.Ticket.(chan ReplyPeer) <- e
+	case ReplyQuota:
+		e.Ticket.(chan quota.Answer) <- e.Answer
+	case ReplyQuotas:
+		e.Ticket.(chan ReplyQuotas) <- e
+	case ReadQuota:
+		go n.readQuota(ctx, e.Epoch)
 	case DoLead:
 		go n.doLead(ctx, e.Effect)
 	case LoadAll:
--- a/internal/controller/fold.go
+++ b/internal/controller/fold.go
@@ -22,6 +22,7 @@
 	seq   uint64
 	round unit.RoundNo
 	phase checkpoint.Phase
+	done  int // tasks
 }
 
 // maxTxn keeps a transaction below the state service's limit of 64 KiB.
@@ -96,7 +97,7 @@
 		return nil, foldedJob{}, false
 	}
 	writes := recordWrites(checkpoint.Key(j.ID), rec, rest, func(n int) string { return checkpoint.PartKey(j.ID, n) })
-	return writes, foldedJob{j, j.Seq, rec.Round, rec.Phase}, true
+	return writes, foldedJob{j, j.Seq, rec.Round, rec.Phase, whole.Done.Len()}, true
 }
 
 // foldable lists the jobs whose record may be written now: those that a user
@@ -140,6 +141,7 @@
 	for _, fj := range f.jobs {
 		j := fj.job
 		j.Version, j.Stored, j.StoredRound, j.StoredPhase, j.StoredFirst = in.Version, fj.seq, fj.round, fj.phase, f.first
+		j.StoredDone = fj.done
 		if j.Dirty() {
 			j.DirtySince = now
 		}
--- a/internal/controller/health.go
+++ b/internal/controller/health.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	n.post(ctx, PeerStatus{Node: name, Sent: sent, Status: status, Form: a.Delegation.Form})
+	n.post(ctx, PeerStatus{Node: name, Sent: sent, Status: status, Form: a.Delegation.Form, Quotas: a.Delegation.Quotas})
 	return nil
 }
 
--- a/internal/controller/meshserver.go
+++ b/internal/controller/meshserver.go
@@ -40,9 +40,12 @@
 		return nil, err
 	}
 	answers := &mesh.Answers{ID: b.ID}
-	if b.Delegation {
+	switch {
+	case b.Quota != nil:
+		answers.Quota = s.n.askQuota(ctx, b.Quota)
+	case b.Delegation:
 		answers.Delegation = s.n.delegationStatus(ctx, b.Node)
-	} else {
+	default:
 		answers = s.n.serveBatch(ctx, b)
 	}
 	data, err := msgpack.Marshal(answers)
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -7,6 +7,7 @@
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/leadership"
+	"badgerbay/internal/quota"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/statestore"
@@ -101,7 +102,21 @@
 		Sent   unit.Instant
 		Status delegation.Status
 		Form   rollout.Form // what that node can; 0: it does not say
+		Quotas bool         // as leader it keeps to allotments
 	}
+	// QuotaRead answers ReadQuota.
+	QuotaRead struct {
+		Epoch unit.Epoch
+		OK    bool
+		Items []statestore.Item
+	}
+	// QuotaAsked is a holder's ask.
+	QuotaAsked struct {
+		Ticket Ticket
+		Ask    quota.Ask
+	}
+	// QuotaShown is an operator who asks for the teams' quotas.
+	QuotaShown struct{ Ticket Ticket }
 	// Isolated says what this node is cut off from.
 	Isolated struct{ From delegation.Isolation }
 	// MeshCut says whether some other node is out of reach over the mesh.
@@ -124,6 +139,9 @@
 func (ListDone) input()    {}
 func (PeerAsked) input()   {}
 func (PeerStatus) input()  {}
+func (QuotaRead) input()   {}
+func (QuotaAsked) input()  {}
+func (QuotaShown) input()  {}
 func (Isolated) input()    {}
 func (MeshCut) input()     {}
 func (FlavorsDone) input() {}
@@ -138,6 +156,7 @@
 	CommitFold
 	CommitForm
 	CommitStage
+	CommitQuota
 )
 
 // Effect is what the core asks for.
@@ -183,6 +202,17 @@
 		Ticket Ticket
 		Status delegation.Status
 	}
+	// ReadQuota reads all records of quotas.
+	ReadQuota struct{ Epoch unit.Epoch }
+	// ReplyQuota answers QuotaAsked, and ReplyQuotas QuotaShown.
+	ReplyQuota struct {
+		Ticket Ticket
+		Answer quota.Answer
+	}
+	ReplyQuotas struct {
+		Ticket Ticket
+		Teams  map[unit.Team]quota.TeamStatus
+	}
 	// ReplyAsk answers a poll or a cancellation; Known must leave before Until.
 	ReplyAsk struct {
 		Ticket  Ticket
@@ -213,6 +243,9 @@
 func (Do) effect()          {}
 func (ReplyReport) effect() {}
 func (ReplyPeer) effect()   {}
+func (ReadQuota) effect()   {}
+func (ReplyQuota) effect()  {}
+func (ReplyQuotas) effect() {}
 func (ReplyAsk) effect()    {}
 func (CallHire) effect()    {}
 func (CallRelease) effect() {}
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -82,6 +82,7 @@
 	relayOut        chan relay.Item
 	meshFailed      sync.Map      // peer to the Instant of its last failure
 	standby         *standbyActor // nil: there is no warm standby
+	holder          *holderActor  // nil: there are no team quotas
 }
 
 // NewNode composes a node from its settings.
@@ -109,6 +110,9 @@
 	if w := pol.Features.WarmStandby; w != nil {
 		n.standby = newStandbyActor(n, w)
 	}
+	if pol.Features.TeamQuotas {
+		n.holder = newHolderActor(n)
+	}
 	return n, nil
 }
 
@@ -172,6 +176,9 @@
 	if n.standby != nil {
 		go n.standby.run(ctx)
 	}
+	if n.holder != nil {
+		go n.holder.run(ctx)
+	}
 	n.log.Info("serving", "node", n.set.Label, "zone", n.set.Location)
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/controller/quota_sim_test.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/quota"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+// admit lets a node that does not lead admit a job that was stored through it.
+func (s *sim) admit(id unit.JobID, spec *checkpoint.Spec) {
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	need, err := quota.NeedOf(spec)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if n.alive && n.core.lead.Epoch() == 0 {
+		s.holderStep(n, quota.Submitted{Job: id, Team: spec.Team, Tasks: spec.Tasks, Need: need, Gang: spec.Gang})
+	}
+}
+
+// holderStep gives a node's holder an input, and carries out what it asks for.
+func (s *sim) holderStep(n *simNode, in quota.HolderInput) {
+	if n.holder == nil || s.now.Before(s.frozen[n.index]) {
+		return
+	}
+	life, holder := n.life, n.holder
+	answer := func(in quota.HolderInput) {
+		s.after(s.latency(), func() {
+			if n.alive && n.life == life && n.holder == holder {
+				s.holderStep(n, in)
+			}
+		})
+	}
+	before := holder.Status().Admitted
+	effects := holder.Step(n.clock(s.now), in)
+	s.admissions += holder.Status().Admitted - before
+	for _, e := range effects {
+		s.after(s.stateLatency(), func() {
+			switch e := e.(type) {
+			case quota.Register:
+				answer(s.register(n, e))
+			case quota.Store:
+				s.storeReserved(n, life, e, false, answer)
+			case quota.SendAsk:
+				s.sendAsk(n, e, answer)
+			}
+		})
+	}
+}
+
+func (s *sim) register(n *simNode, e quota.Register) quota.Registered {
+	key := quota.HolderKey(e.Node)
+	item, err := s.state.Get(key)
+	if err != nil || s.stateless(n) {
+		return quota.Registered{}
+	}
+	stamp, err := s.tryCommit(statestore.Txn{Guards: []statestore.Guard{{Key: key, Stamp: item.Stamp}},
+		Writes: []statestore.Write{{Set: key, Value: holderValue{e.Node}}}})
+	if err != nil {
+		return quota.Registered{}
+	}
+	return quota.Registered{Stamp: stamp}
+}
+
+// storeReserved does what holderActor.store does.
+func (s *sim) storeReserved(n *simNode, life int, e quota.Store, unsure bool, answer func(quota.HolderInput)) {
+	if !n.alive || n.life != life {
+		return
+	}
+	if s.stateless(n) {
+		s.after(150*time.Millisecond, func() { s.storeReserved(n, life, e, true, answer) })
+		return
+	}
+	stamp, err := s.tryCommit(statestore.Txn{Guards: e.Guards, Writes: []statestore.Write{{Set: e.Key, Value: e.Reserved}}})
+	conflict, refused := err.(*statestore.ConflictError)
+	switch {
+	case err == nil:
+		answer(quota.Stored{Outcome: quota.StoreOK, Stamp: stamp})
+	case refused:
+		if item, err := s.state.Get(e.Key); unsure && err == nil && item.Stamp > e.Guards[1].Stamp {
+			answer(quota.Stored{Outcome: quota.StoreOK, Stamp: item.Stamp})
+			return
+		}
+		answer(quota.Stored{Outcome: storeOutcome(e, conflict)})
+	default:
+		s.after(150*time.Millisecond, func() { s.storeReserved(n, life, e, true, answer) })
+	}
+}
+
+// sendAsk brings an ask to the leader that the node knows, over the mesh.
+func (s *sim) sendAsk(n *simNode, e quota.SendAsk, answer func(quota.HolderInput)) {
+	answered := false
+	once := func(in quota.HolderInput) {
+		if !answered {
+			answered = true
+			answer(in)
+		}
+	}
+	s.after(2*time.Second, func() { once(quota.Answered{}) })
+	for _, l := range s.nodes {
+		if l.name != n.core.Leader() || l != n && !s.meets(n, l) || l.core.lead.Epoch() == 0 || s.lost() {
+			continue
+		}
+		s.step(l, QuotaAsked{Ask: e.Ask, Ticket: func(a quota.Answer) {
+			if l == n || s.meets(n, l) {
+				once(quota.Answered{Answer: &a})
+			}
+		}})
+	}
+}
+
+// apply carries out a transaction, and checks what is stored then.
+func (s *sim) apply(t statestore.Txn) (unit.Version, error) {
+	v, err := s.state.Commit(t)
+	for _, w := range t.Writes {
+		if err != nil || !strings.HasPrefix(w.Set+w.Remove, quota.KeyPrefix) {
+			continue
+		}
+		if wrong := s.checkQuotas(); wrong != nil {
+			s.t.Fatalf("quota: %v", wrong)
+		}
+		break
+	}
+	return v, err
+}
+
+// checkQuotas checks what is stored: no team's allotments exceed its limit, and no
+// holder has reserved more than it was allotted.
+func (s *sim) checkQuotas() error {
+	items, _, err := s.state.List(quota.KeyPrefix)
+	if err != nil {
+		return nil
+	}
+	return quota.CheckStored(items, s.set.Params.TeamsByName())
+}
+
+// onMachines checks that what runs of each team is within its limit, however it was
+// admitted.
+func (s *sim) onMachines() error {
+	for _, team := range s.set.Params.Teams {
+		if used := s.usage()[team.Name]; team.CPUsMax > 0 && used > team.CPUsMax+1e-6 {
+			return fmt.Errorf("%s uses %v of %v", team.Name, used, team.CPUsMax)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/quotas.go
@@ -0,0 +1,160 @@
+package controller
+
+import (
+	"time"
+
+	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/leadership"
+	"badgerbay/internal/quota"
+	"badgerbay/internal/statestore"
+	"badgerbay/internal/unit"
+)
+
+const (
+	// keepsFor is how long it counts that a node said that it keeps to allotments.
+	keepsFor = 5 * time.Second
+	// unplacedFor is how long reserved tasks may wait for a place before their
+	// reservation ends: others of the team may fit where they do not.
+	unplacedFor = 20 * time.Second
+)
+
+// maybeQuota lets the ledger read, change and answer.
+func (t *term) maybeQuota(now unit.Instant) {
+	if t.quota.ReadDue(now) {
+		t.c.emit(ReadQuota{Epoch: t.epoch})
+	}
+	if t.c.lead.Raising() {
+		return
+	}
+	// Two changes beside the records remove a holder.
+	most := min(t.limits().TxnOps-2, t.c.budget.WritesFor(now, statestore.UseUrgentFold)-2)
+	if most < 1 {
+		return
+	}
+	txn, replies := t.quota.Step(now, t.use(), t.allKeepQuotas(now), most)
+	t.answerHolders(replies)
+	if txn != nil {
+		t.c.budget.Spend(now, len(txn.Writes))
+		t.c.emit(Commit{Kind: CommitQuota, Epoch: t.epoch, Txn: *txn})
+	}
+}
+
+func (t *term) answerHolders(replies []quota.Reply) {
+	for _, r := range replies {
+		t.c.emit(ReplyQuota{Ticket: r.Ticket, Answer: r.Answer})
+	}
+}
+
+func (t *term) quotaCommitted(now unit.Instant, in Committed) {
+	t.answerHolders(t.quota.Committed(now, in.Outcome == leadership.OK, in.Version, t.use()))
+	t.dirty = true
+}
+
+func (t *term) quotaRead(now unit.Instant, in QuotaRead) {
+	if err := t.quota.Take(now, in.Epoch, in.Items, in.OK); err != nil {
+		t.c.emit(Stop{Err: err})
+	}
+}
+
+// allKeepQuotas tells whether every node has said lately that it would keep to
+// allotments if it led: one of a version before would not.
+func (t *term) allKeepQuotas(now unit.Instant) bool {
+	for _, p := range t.c.set.Peers {
+		if last, said := t.keepsQuotas[p.Label]; !said || now.Sub(last) > keepsFor {
+			return false
+		}
+	}
+	return true
+}
+
+// use is what the ledger may ask of the jobs; what is placed is counted when it is
+// asked for first.
+func (t *term) use() quota.Use {
+	var uncovered map[unit.Team]quota.Units
+	return quota.Use{
+		Uncovered: func(team unit.Team) quota.Units {
+			if uncovered == nil {
+				uncovered = t.uncovered()
+			}
+			return uncovered[team]
+		},
+		Remaining: t.remaining,
+	}
+}
+
+func (t *term) uncovered() map[unit.Team]quota.Units {
+	out := map[unit.Team]quota.Units{}
+	for id, j := range t.jobs {
+		if n := len(j.Live) - t.quota.Covers(id, j.Spec.Team); n > 0 {
+			// A spec was checked when it was submitted.
+			if need, err := quota.NeedOf(&j.Spec); err == nil {
+				out[j.Spec.Team] = out[j.Spec.Team].Plus(need.Times(n))
+			}
+		}
+	}
+	return out
+}
+
+// remaining is how many tasks of a job a reservation may still cover: those that are
+// not stored as done, or may be on a machine. Tasks that find no place keep their
+// reservation for a while only.
+func (t *term) remaining(id unit.JobID) (int, bool) {
+	j := t.jobs[id]
+	if j == nil {
+		return 0, false
+	}
+	if j.StoredPhase.Final() {
+		return len(j.Live), true
+	}
+	waits := t.c.stepped.Sub(max(j.LastStart, j.QueuedAt, j.Known))
+	if len(j.Queue) > 0 && waits > unplacedFor {
+		return len(j.Live), true
+	}
+	return max(j.Spec.Tasks-j.StoredDone, len(j.Live)), true
+}
+
+// held is what of the teams' limits is kept for reservations, beside what is placed
+// of them, and how many tasks of a job they cover; nil where nothing is allotted.
+func (t *term) held() (map[unit.Team]checkpoint.Resources, func(*checkpoint.Job) int) {
+	allotted := map[unit.Team]quota.Units{}
+	for team := range t.teams {
+		if u := t.quota.Allotted(team); !u.Zero() {
+			allotted[team] = u
+		}
+	}
+	if len(allotted) == 0 {
+		return nil, nil
+	}
+	covers := func(j *checkpoint.Job) int { return t.quota.Covers(j.ID, j.Spec.Team) }
+	for _, j := range t.jobs {
+		u, any := allotted[j.Spec.Team]
+		n := min(len(j.Live), covers(j))
+		need, err := quota.NeedOf(&j.Spec)
+		if any && n > 0 && err == nil {
+			allotted[j.Spec.Team] = u.Minus(need.Times(n)).Max(quota.Units{})
+		}
+	}
+	held := make(map[unit.Team]checkpoint.Resources, len(allotted))
+	for team, u := range allotted {
+		held[team] = u.Resources()
+	}
+	return held, covers
+}
+
+// noteBlocked has holders give back what work found no room for.
+func (t *term) noteBlocked(now unit.Instant, blocked map[unit.Team]checkpoint.Resources) {
+	for team, r := range blocked {
+		if units, err := quota.NeedOf(&checkpoint.Spec{CPUs: r.CPUs, GPUs: r.GPUs}); err == nil {
+			t.quota.Blocked(now, team, units)
+		}
+	}
+}
+
+// showQuotas tells an operator how the teams stand, if this node leads.
+func (c *Core) showQuotas(now unit.Instant, in QuotaShown) {
+	reply := ReplyQuotas{Ticket: in.Ticket}
+	if c.term != nil && c.term.loaded {
+		reply.Teams = c.term.quota.Status(now, c.term.use())
+	}
+	c.emit(reply)
+}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -60,7 +60,7 @@
 }
 
 func (t *term) maybeRound(now unit.Instant) {
-	if !t.ready || t.flight != nil || t.c.lead.Raising() || now.Sub(t.lastRound) < t.gap(now) {
+	if !t.ready || !t.quota.Ready() || t.flight != nil || t.c.lead.Raising() || now.Sub(t.lastRound) < t.gap(now) {
 		return
 	}
 	if !t.dirty && now.Before(t.nextPlan) {
@@ -73,6 +73,7 @@
 	t.dirty, t.lastRound, t.nextPlan = false, now, now.Add(time.Second)
 	plan := round.Make(t.world(now, no))
 	t.planCost = time.Duration(plan.Work) * lookCost
+	t.noteBlocked(now, plan.Blocked)
 	for _, id := range plan.Vacate {
 		t.lastVacate = now
 		t.fleet.Machine(id).Vacating = true
@@ -180,6 +181,8 @@
 		t.formCommitted(now, in)
 	case CommitStage:
 		t.stageCommitted(now, in)
+	case CommitQuota:
+		t.quotaCommitted(now, in)
 	}
 }
 
@@ -243,6 +246,7 @@
 		MayVacate:  now.Sub(max(t.lastVacate, t.acquired)) >= t.c.pol.VacateEvery && !t.c.cut,
 		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.rentals.Pending()) < 4,
 		ValueBytes: t.limits().ValueBytes(), Parts: t.parts(), RoundParts: t.roundParts(), Replace: t.replaceable(now), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
+	w.Held, w.Covers = t.held()
 	w.Active = func(team unit.Team) bool {
 		last, ok := t.lastWork[team]
 		return ok && now.Sub(last) <= t.c.pol.GuaranteeHold
@@ -297,7 +301,7 @@
 // maybeRaise raises the token when exits wait to be reaped, or when a retracted
 // launch has not been seen: under a higher token no late copy can start.
 func (t *term) maybeRaise(now unit.Instant) {
-	if t.flight != nil || t.fold != nil || t.c.lead.Raising() {
+	if t.flight != nil || t.fold != nil || t.quota.Changing() || t.c.lead.Raising() {
 		return
 	}
 	since := now.Sub(t.lastRaise)
--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -84,6 +84,8 @@
 				queue = append(queue, Committed{Kind: e.Kind, Epoch: e.Epoch, Version: g.version})
 			case Do:
 				queue = append(queue, g.do(e))
+			case ReadQuota:
+				queue = append(queue, QuotaRead{Epoch: e.Epoch, OK: true})
 			case DoLead:
 				if r, ok := e.Effect.(leadership.Renew); ok && r.Tenure != 0 {
 					queue = append(queue, Lead{leadership.Renewed{Tenure: r.Tenure, Sent: g.now}})
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -55,6 +55,7 @@
 	r.POST("/submissions/:id/withdraw", n.ask(userapi.Cancel))
 	r.POST(beatPath, n.beat)
 	r.GET("/standby", n.showStandby)
+	r.GET("/quota", n.showQuotas)
 	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(n.met.Registry, promhttp.HandlerOpts{MaxRequestsInFlight: 2}))
 	return r
 }
--- a/internal/controller/sim_nodes_test.go
+++ b/internal/controller/sim_nodes_test.go
@@ -16,6 +16,7 @@
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/parts"
+	"badgerbay/internal/quota"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
 	"badgerbay/internal/standby"
@@ -38,7 +39,10 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	n.core = NewCore(&set, s.pol, simClock{s, n}, statestore.NewBudget(3, 80, 25),
 		rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64())), log, NewMetrics())
-	n.follower = nil
+	n.follower, n.holder = nil, nil
+	if s.pol.Features.TeamQuotas && !s.before[n.index] {
+		n.holder = quota.NewHolder(n.name, s.set.Params.State.ValueBytes())
+	}
 	if w := s.pol.Features.WarmStandby; w != nil && !s.before[n.index] {
 		n.follower = standby.NewFollower(standby.Times{Sync: w.Sync}, int(w.ReplicaMB*mebibyte))
 	}
@@ -47,6 +51,7 @@
 		if n.alive && n.life == life {
 			s.step(n, Tick{})
 			s.followTick(n)
+			s.holderStep(n, quota.Tick{})
 			s.after(50*time.Millisecond, tick)
 		}
 	}
@@ -118,7 +123,7 @@
 	s.after(s.latency(), func() {
 		if p.alive {
 			s.step(p, PeerAsked{Node: n.name, Ticket: func(r ReplyPeer) {
-				s.reply(n, life, PeerStatus{Node: p.name, Sent: sent, Status: r.Status, Form: s.formOf(n, p)})
+				s.reply(n, life, PeerStatus{Node: p.name, Sent: sent, Status: r.Status, Form: s.formOf(n, p), Quotas: s.formOf(n, p) != 0})
 			}})
 		}
 	})
@@ -193,6 +198,13 @@
 		e.Ticket.(func(ReplyAsk))(e)
 	case ReplyPeer:
 		e.Ticket.(func(ReplyPeer))(e)
+	case ReplyQuota:
+		e.Ticket.(func(quota.Answer))(e.Answer)
+	case ReadQuota:
+		s.after(s.stateLatency(), func() {
+			items, _, err := s.state.List(quota.KeyPrefix)
+			s.reply(n, life, QuotaRead{Epoch: e.Epoch, OK: err == nil && !s.stateless(n) && !s.lost(), Items: items})
+		})
 	case DoLead:
 		s.after(s.stateLatency(), func() { s.doLead(n, life, e.Effect) })
 	case LoadAll:
@@ -392,10 +404,10 @@
 	var v unit.Version
 	var err error
 	if s.lateWrites > 0 && s.rng.Float64() < s.lateWrites {
-		s.after(2*time.Second+time.Duration(s.rng.Int64N(int64(10*time.Second))), func() { s.state.Commit(t) })
+		s.after(2*time.Second+time.Duration(s.rng.Int64N(int64(10*time.Second))), func() { s.apply(t) })
 		return 0, statestore.ErrUncertain
 	}
-	if !s.sent(func() { v, err = s.state.Commit(t) }) {
+	if !s.sent(func() { v, err = s.apply(t) }) {
 		return 0, statestore.ErrUncertain
 	}
 	return v, err
@@ -425,12 +437,12 @@
 			}
 		}
 		if done.Outcome != leadership.Gone && unsure {
-			item, err := s.state.Get(c.Txn.Writes[0].Set)
+			item, err := s.state.Get(settledBy(c.Txn))
 			if err != nil {
 				again(true)
 				return
 			}
-			if item.Stamp > c.Txn.Guards[1].Stamp {
+			if carriedOut(c.Txn, item) {
 				done.Outcome, done.Version, done.Failed = leadership.OK, item.Stamp, nil
 			}
 		}
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -13,6 +13,7 @@
 	"badgerbay/internal/fake"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/policy"
+	"badgerbay/internal/quota"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/standby"
 	"badgerbay/internal/unit"
@@ -67,6 +68,7 @@
 	exits      map[unit.JobID]exitCounts       // of gangs' tasks
 
 	acts                         fake.History  // of those who act as leader
+	admissions                   int           // of jobs, by holders
 	understated                  time.Duration // what heartbeats seem to claim less than they do
 	warmTakeovers, coldTakeovers int           // with a replica, and where it was of no use
 }
@@ -81,6 +83,7 @@
 	view  unit.Epoch
 	rate  float64 // of its steady clock
 
+	holder   *quota.Holder     // nil: it admits nothing
 	follower *standby.Follower // nil: it has no replica
 	ready    bool              // its replica was complete when last looked at
 }
--- a/internal/controller/sim_users_test.go
+++ b/internal/controller/sim_users_test.go
@@ -178,6 +178,7 @@
 			return
 		}
 		j.submitted, j.accepted = true, s.now
+		s.admit(id, &spec)
 	}
 	try()
 	s.every(2*time.Second, func() {
--- a/internal/controller/stage.go
+++ b/internal/controller/stage.go
@@ -49,7 +49,7 @@
 		return false
 	}
 	t.c.log.Info("checkpoint is written in several transactions", "job", j.ID, "parts", len(rest), "epoch", t.epoch)
-	t.stage = stage{stamp: t.stage.stamp, job: j, head: head, rest: rest, final: foldedJob{j, j.Seq, rec.Round, rec.Phase}}
+	t.stage = stage{stamp: t.stage.stamp, job: j, head: head, rest: rest, final: foldedJob{j, j.Seq, rec.Round, rec.Phase, rec.Done.Len()}}
 	j.Writing = true
 	return true
 }
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -162,6 +162,7 @@
 	switch n.note(err); {
 	case err == nil:
 		go n.notify(id)
+		n.holder.offer(id, &rec.Spec)
 		return userapi.Stored
 	case errors.As(err, &conflict):
 		return userapi.Exists
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -8,6 +8,7 @@
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/handover"
+	"badgerbay/internal/quota"
 	"badgerbay/internal/rental"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
@@ -57,12 +58,15 @@
 	stage      stage
 	lostRounds bool // some round's record can't be read
 	asking     takeover.Asking
-	reach      handover.Reach
-	found      unit.Instant // when a machine that was silent for too long was last heard again
-	ledger     *delegation.Ledger
-	expect     map[unit.Class]round.Expect
-	lastWork   map[unit.Team]unit.Instant // when the team last had work
-	lastSpec   map[unit.Class]*checkpoint.Spec
+	quota      *quota.Ledger
+	// keepsQuotas is when each node last said that it would keep to allotments.
+	keepsQuotas map[string]unit.Instant
+	reach       handover.Reach
+	found       unit.Instant // when a machine that was silent for too long was last heard again
+	ledger      *delegation.Ledger
+	expect      map[unit.Class]round.Expect
+	lastWork    map[unit.Team]unit.Instant // when the team last had work
+	lastSpec    map[unit.Class]*checkpoint.Spec
 }
 
 func newTerm(c *Core, now unit.Instant, epoch unit.Epoch) *term {
@@ -71,7 +75,7 @@
 		rentals: rental.NewTracker(c.pol.HireBackoff), ring: round.NewRing(c.pol.RingSlots),
 		waiting: map[unit.JobID][]waiter{}, teams: c.set.Params.TeamsByName(),
 		lastWork: map[unit.Team]unit.Instant{}, expect: map[unit.Class]round.Expect{}, lastSpec: map[unit.Class]*checkpoint.Spec{}, tooLarge: map[unit.JobID]unit.Instant{},
-		lastRaise: now, nextTypes: now.Add(5 * time.Second)}
+		keepsQuotas: map[string]unit.Instant{}, lastRaise: now, nextTypes: now.Add(5 * time.Second)}
 	p := c.set.Params
 	t.cluster = rollout.New(c.set.PeerLabels(), 0)
 	t.fleet = fleet.New(fleetTimes(c), epoch, now, t.job)
@@ -103,6 +107,7 @@
 func (t *term) setToken(e unit.Epoch) {
 	t.epoch = e
 	t.fleet.SetEpoch(e)
+	t.quota.SetEpoch(e)
 }
 
 // abandon answers those who wait when leadership ends.
@@ -131,6 +136,10 @@
 		t.releaseDone(now, in)
 	case ListDone:
 		t.listDone(now, in)
+	case QuotaRead:
+		t.quotaRead(now, in)
+	case QuotaAsked:
+		t.quota.Ask(now, in.Ask, in.Ticket)
 	}
 }
 
@@ -150,6 +159,7 @@
 	t.askMachines(now)
 	t.reconciled(now)
 	t.maybeAgree(now)
+	t.maybeQuota(now)
 	t.maybeRaise(now)
 	t.maybeStage(now)
 	t.maybeFold(now)
--- a/internal/feature/check.go
+++ b/internal/feature/check.go
@@ -5,6 +5,7 @@
 
 	"badgerbay/internal/config"
 	"badgerbay/internal/leadership"
+	"badgerbay/internal/quota"
 	"badgerbay/internal/statestore"
 )
 
@@ -14,12 +15,37 @@
 
 // Check tells whether the features can work with the settings of the deployment.
 func (s Set) Check(p config.Params) error {
+	if s.TeamQuotas {
+		if err := checkTeams(p); err != nil {
+			return err
+		}
+	}
 	if s.WarmStandby == nil {
 		return nil
 	}
 	return s.WarmStandby.check(p)
 }
 
+// checkTeams refuses limits that can't be shared out.
+func checkTeams(p config.Params) error {
+	if p.Nodes > quota.MostHolders {
+		return &Error{"params.nodes", fmt.Sprintf("%d holders are more than a team's record can name: at most %d", p.Nodes, quota.MostHolders)}
+	}
+	for i, t := range p.Teams {
+		field := fmt.Sprintf("params.teams[%d].", i)
+		if t.CPUsMax > 0 && t.CPUs > t.CPUsMax {
+			return &Error{field + "cpus", fmt.Sprintf("a guarantee of %v is beyond the limit of %v", t.CPUs, t.CPUsMax)}
+		}
+		if t.GPUsMax > 0 && t.GPUs > t.GPUsMax {
+			return &Error{field + "gpus", fmt.Sprintf("a guarantee of %v is beyond the limit of %v", t.GPUs, t.GPUsMax)}
+		}
+		if _, err := quota.LimitOf(t); err != nil {
+			return &Error{field + "cpus_max", err.Error()}
+		}
+	}
+	return nil
+}
+
 func (w *WarmStandby) check(p config.Params) error {
 	wrong := func(field, format string, args ...any) error {
 		return &Error{Field: "policy.warm_standby." + field, Reason: fmt.Sprintf(format, args...)}
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -30,6 +30,7 @@
 // Set is the features of one node. The zero value enables none.
 type Set struct {
 	WarmStandby *WarmStandby // nil: off
+	TeamQuotas  bool
 }
 
 // WarmStandby are the settings of the warm standby.
@@ -91,6 +92,7 @@
 	if section, ok := enabled["warm_standby"].(map[string]any); ok {
 		s.WarmStandby = warmStandby(section)
 	}
+	_, s.TeamQuotas = enabled["team_quotas"]
 	return s, nil
 }
 
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -9,6 +9,7 @@
 
 	"badgerbay/internal/delegation"
 	"badgerbay/internal/fleet"
+	"badgerbay/internal/quota"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/wire"
@@ -36,6 +37,8 @@
 	QuietMs int64  `msgpack:"q,omitempty" json:"q,omitempty"`
 	// Form is what the node can; see package rollout.
 	Form rollout.Form `msgpack:"f,omitempty" json:"f,omitempty"`
+	// Quota is what a holder of team quotas asks; see package quota.
+	Quota *quota.Ask `msgpack:"qa,omitempty" json:"-"`
 }
 
 // Ask is a cancellation on its way to the leader.
@@ -73,6 +76,7 @@
 	Reports    wire.List[Answer]   `msgpack:"r,omitempty" json:"r,omitempty"`
 	Asks       wire.List[AskState] `msgpack:"a,omitempty" json:"a,omitempty"`
 	Delegation *Delegation         `msgpack:"v,omitempty" json:"v,omitempty"`
+	Quota      *quota.Answer       `msgpack:"qa,omitempty" json:"-"`
 }
 
 // Delegation is what a node says of grants; see package delegation.
@@ -82,11 +86,13 @@
 	QuietMs  int64                     `msgpack:"q" json:"q"`
 	Excluded wire.List[unit.MachineID] `msgpack:"o,omitempty" json:"o,omitempty"`
 	Form     rollout.Form              `msgpack:"f,omitempty" json:"f,omitempty"`
+	// Quotas: as leader the node keeps to what was allotted of teams' limits.
+	Quotas bool `msgpack:"k,omitempty" json:"k,omitempty"`
 }
 
 // PackDelegation makes the form of it that travels.
 func PackDelegation(s delegation.Status) *Delegation {
-	return &Delegation{Epoch: s.Epoch, LifeMs: s.Life.Milliseconds(), QuietMs: s.IdleFor.Milliseconds(), Excluded: s.Excluded, Form: rollout.Newest}
+	return &Delegation{Epoch: s.Epoch, LifeMs: s.Life.Milliseconds(), QuietMs: s.IdleFor.Milliseconds(), Excluded: s.Excluded, Form: rollout.Newest, Quotas: true}
 }
 
 // Unpack undoes PackDelegation. What can't be is taken for no grant.
--- a/internal/round/gang.go
+++ b/internal/round/gang.go
@@ -33,6 +33,7 @@
 		return 0
 	}
 	n := j.Queue.Len()
+	p.noteBlocked(j, n)
 	if may := p.quota(j); may < n {
 		// It holds no machine, but what is left of its team's limit: else tasks
 		// of its team that come one by one would take each bit as it comes free.
--- a/internal/round/order.go
+++ b/internal/round/order.go
@@ -111,9 +111,55 @@
 	return t.CPUs > 0 && after.CPUs <= t.CPUs+1e-6 && (after.GPUs == 0 || after.GPUs <= t.GPUs+1e-6)
 }
 
-// quota tells how many more tasks of the job its team's limit allows.
+// quota tells how many more tasks of the job its team's limit allows: as many as
+// reservations cover, and what is left of the limit by what is used and by what is
+// held for others.
 func (p *planner) quota(j *checkpoint.Job) int {
-	t, used := p.w.Teams[j.Spec.Team], p.usage[j.Spec.Team]
+	used := p.usage[j.Spec.Team]
+	n := p.withinLimit(j, used)
+	if held, ok := p.held[j.Spec.Team]; ok {
+		n = min(n, p.covered(j)+p.withinLimit(j, used.Plus(held)))
+	}
+	return n
+}
+
+// covered is how many more tasks of the job reservations cover.
+func (p *planner) covered(j *checkpoint.Job) int {
+	n, known := p.slots[j]
+	if !known && p.w.Covers != nil {
+		n = max(0, p.w.Covers(j)-len(j.Live))
+		p.slots[j] = n
+	}
+	return n
+}
+
+// cover takes n tasks of the job out of what is held, as far as reservations cover
+// them: they are used from now on.
+func (p *planner) cover(j *checkpoint.Job, n int) {
+	held, ok := p.held[j.Spec.Team]
+	if !ok {
+		return
+	}
+	n = min(n, p.covered(j))
+	p.slots[j] -= n
+	p.held[j.Spec.Team] = held.Minus(j.Spec.Need().Times(n)).Max(checkpoint.Resources{})
+}
+
+// noteBlocked notes what of n tasks of the job finds no room because it is held.
+func (p *planner) noteBlocked(j *checkpoint.Job, n int) {
+	if _, ok := p.held[j.Spec.Team]; !ok || p.blocked[j] {
+		return
+	}
+	p.blocked[j] = true
+	if n = min(n, p.withinLimit(j, p.usage[j.Spec.Team])) - p.quota(j); n > 0 {
+		p.plan.Blocked[j.Spec.Team] = p.plan.Blocked[j.Spec.Team].Plus(j.Spec.Need().Times(n))
+	}
+}
+
+// withinLimit tells how many more tasks of the job its team's limit allows beside
+// what is used.
+func (p *planner) withinLimit(j *checkpoint.Job, used checkpoint.Resources) int {
+	t := p.w.Teams[j.Spec.Team]
 	n := math.MaxInt32
 	if t.CPUsMax > 0 && j.Spec.CPUs > 0 {
 		n = min(n, int((t.CPUsMax-used.CPUs+1e-6)/j.Spec.CPUs))
--- a/internal/round/place.go
+++ b/internal/round/place.go
@@ -41,7 +41,9 @@
 	if j.Spec.Gang {
 		return p.placeGang(t)
 	}
-	left := min(j.Queue.Len()-p.claimed[j].Len(), p.quota(j))
+	left := j.Queue.Len() - p.claimed[j].Len()
+	p.noteBlocked(j, left)
+	left = min(left, p.quota(j))
 	if t.guaranteed {
 		left = min(left, p.guaranteed(j))
 	}
@@ -143,6 +145,7 @@
 // count counts n tasks of the job as being on the bin's machine.
 func (p *planner) count(j *checkpoint.Job, b *bin, n int) {
 	p.usage[j.Spec.Team] = p.usage[j.Spec.Team].Plus(j.Spec.Need().Times(n))
+	p.cover(j, n)
 	if p.added[j] == nil {
 		p.added[j] = map[unit.Zone]int{}
 	}
--- a/internal/round/plan.go
+++ b/internal/round/plan.go
@@ -1,6 +1,8 @@
 package round
 
 import (
+	"maps"
+
 	"badgerbay/internal/checkpoint"
 	"badgerbay/internal/unit"
 )
@@ -50,13 +52,16 @@
 	began map[*checkpoint.Job]int // tasks that this plan starts
 	// promised counts the tasks of a job that wait for machines to come.
 	promised map[*checkpoint.Job]int
+	held     map[unit.Team]checkpoint.Resources // see World
+	slots    map[*checkpoint.Job]int            // see covered
+	blocked  map[*checkpoint.Job]bool           // see noteBlocked
 	// gangZone is where machines for a gang must be rented; "": anywhere.
 	gangZone map[*checkpoint.Job]unit.Zone
 }
 
 // Make plans a round. It changes nothing it is given.
 func Make(w *World) *Plan {
-	p := &planner{w: w, plan: &Plan{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
+	p := &planner{w: w, plan: &Plan{Blocked: map[unit.Team]checkpoint.Resources{}}, held: maps.Clone(w.Held), slots: map[*checkpoint.Job]int{}, blocked: map[*checkpoint.Job]bool{}, usage: map[unit.Team]checkpoint.Resources{}, giving: map[unit.Team]checkpoint.Resources{},
 		placed: map[*bin]int{}, claimed: map[*checkpoint.Job]unit.Ranges{}, starts: map[*checkpoint.Job]float64{}, least: map[*checkpoint.Job]float64{},
 		added: map[*checkpoint.Job]map[unit.Zone]int{}, taken: map[*checkpoint.Placement]bool{}, rooms: map[*checkpoint.Job]checkpoint.Room{},
 		demand: map[unit.Class]int{}, nowhere: map[shape]bool{}, inZone: map[unit.Zone]int{},
--- a/internal/round/world.go
+++ b/internal/round/world.go
@@ -45,6 +45,10 @@
 	// they began; these may be replaced.
 	Replace  map[unit.JobID]unit.Attempt
 	SpecSize func(*checkpoint.Job) int
+	// Held is what of a team's limit is kept for reservations of other nodes, beside
+	// what is placed; Covers is how many tasks of a job they cover. See package quota.
+	Held   map[unit.Team]checkpoint.Resources
+	Covers func(*checkpoint.Job) int
 }
 
 // Stop is a placement to be stopped to make room.
@@ -90,4 +94,6 @@
 	// Work counts the machines that were looked at, for one job or another:
 	// what the plan cost.
 	Work int
+	// Blocked is what of a team would fit its limit, were it not held.
+	Blocked map[unit.Team]checkpoint.Resources
 }
