--- a/internal/controller/cancelgap_test.go
+++ b/internal/controller/cancelgap_test.go
@@ -175,7 +175,7 @@
 func TestOwnGrantEndsInTime(t *testing.T) {
 	life := delegation.Life(simSettings().Params.Workers)
 	for _, resigns := range []bool{false, true} {
-		b := newBench(t)
+		b := newNodeRig(t)
 		c := b.n.core
 		b.lead(t)
 		begun := b.clock.now
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -103,11 +103,11 @@
 	return m
 }
 
-// watchDoor adds the connections of workers and users.
-func (m *Metrics) watchDoor(d *connlimit.Listener) {
+// watchConnections adds the connections of workers and users.
+func (m *Metrics) watchConnections(limited *connlimit.Listener) {
 	watch := func(name, help string, of func(connlimit.Stats) int) {
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "badgerbay", Name: name, Help: help},
-			func() float64 { return float64(of(d.Stats())) }))
+			func() float64 { return float64(of(limited.Stats())) }))
 	}
 	watch("connections", "Connections of workers, users and those who have said nothing.", func(s connlimit.Stats) int { return s.Open })
 	watch("worker_connections", "Connections of workers.", func(s connlimit.Stats) int { return s.Workers })
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -162,17 +162,17 @@
 	if err != nil {
 		return fmt.Errorf("mesh_addr: %w", err)
 	}
-	entrance := n.newDoor(users)
-	server := n.newServer(entrance)
+	limited := n.limitConnections(users)
+	server := n.newServer(limited)
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(entrance) }()
+	go func() { failed <- server.Serve(limited) }()
 	go func() {
 		failed <- mesh.Serve(netutil.LimitListener(peers, max(2*len(n.set.Peers)+2, sockets(n.set, meshShare))), &meshServer{n: n}, mostQueued(n.set))
 	}()
 	go n.act(ctx)
 	go n.relayUp(ctx)
 	go n.watchHealth(ctx)
-	go n.watchLoad(ctx, entrance)
+	go n.watchLoad(ctx, limited)
 	if n.standby != nil {
 		go n.standby.run(ctx)
 	}
@@ -195,24 +195,24 @@
 	}
 }
 
-// newDoor keeps the connections of workers and users within their share of the
+// limitConnections keeps the connections of workers and users within their share of the
 // sockets. At the leader every machine holds one; there may be more machines
 // than that. A listener that stopped accepting left them, and with them users
 // and the load balancer's probes, without an answer.
-func (n *Node) newDoor(l net.Listener) *connlimit.Listener {
-	d := connlimit.New(l, connlimit.Limits{All: sockets(n.set, listenShare), IdleTimeout: 2*n.set.Params.Workers.ReportInterval() + time.Second}, n.clock.Now)
-	n.met.watchDoor(d)
-	return d
+func (n *Node) limitConnections(l net.Listener) *connlimit.Listener {
+	limited := connlimit.New(l, connlimit.Limits{All: sockets(n.set, listenShare), IdleTimeout: 2*n.set.Params.Workers.ReportInterval() + time.Second}, n.clock.Now)
+	n.met.watchConnections(limited)
+	return limited
 }
 
-func (n *Node) newServer(d *connlimit.Listener) *http.Server {
-	return &http.Server{Handler: d.Handler(visitor, n.routes()), ConnContext: d.Context,
+func (n *Node) newServer(limited *connlimit.Listener) *http.Server {
+	return &http.Server{Handler: limited.Handler(clientKind, n.routes()), ConnContext: limited.Context,
 		ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
 		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
 }
 
-// visitor tells who makes a request.
-func visitor(r *http.Request) connlimit.Kind {
+// clientKind tells who makes a request.
+func clientKind(r *http.Request) connlimit.Kind {
 	if r.URL.Path == beatPath {
 		return connlimit.Worker
 	}
--- a/internal/controller/quota_test.go
+++ b/internal/controller/quota_test.go
@@ -42,20 +42,12 @@
 		if seed%2 == 1 {
 			script = "team_quotas = {}"
 		}
-		s := newSimOf(t, 900+seed, script)
-		s.loss, s.dup, s.late, s.lateWrites = 0.01, 0.05, 0.05, 0.03
-		s.troubled = true
+		s := newLossySim(t, 900+seed, script)
 		s.again(10*time.Second, 20*time.Second, s.trouble)
 		if s.pol.Features.WarmStandby != nil {
 			s.again(10*time.Second, 20*time.Second, s.aroundTakeover)
 		}
-		s.submitSteadily(120 * time.Second)
-		s.load()
-		s.after(5*time.Second, func() { s.cancelJob("wk-000003") })
-		s.after(40*time.Second, func() { s.cancelJob("wk-000004") })
-		s.run(130 * time.Second)
-		s.electAt = 0
-		s.finish()
+		s.playLossyDay()
 		s.run(30 * time.Second)
 		if n := s.leftOver(); n > 0 {
 			t.Errorf("%d allotments and reservations are left", n)
--- a/internal/controller/quotaview.go
+++ b/internal/controller/quotaview.go
@@ -5,11 +5,9 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"badgerbay/internal/quota"
 	"badgerbay/internal/unit"
-	"badgerbay/internal/wire"
 )
 
 // quotaView is what a node tells operators of quotas.
@@ -99,11 +97,5 @@
 		case <-time.After(quotaWait):
 		}
 	}
-	data, err := msgpack.Marshal(view)
-	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", wire.ContentType)
-	w.Write(data)
+	writeView(w, &view)
 }
--- a/internal/controller/relay_test.go
+++ b/internal/controller/relay_test.go
@@ -22,7 +22,7 @@
 // TestLeaderServesABatch: the answers to a cut-off node's batch are written
 // under the guard of the epoch.
 func TestLeaderServesABatch(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	b.lead(t)
 	holder := statestore.Txn{Writes: []statestore.Write{{Set: leadership.Key, Value: leadership.Holder{Node: "n0"}}}}
 	for v := unit.Version(0); v < 77; { // the epoch that this node leads with
@@ -99,7 +99,7 @@
 // TestAnswersOfAnEarlierTerm: a node that leads again must not take the answer
 // to a write of its last term for that of the round under way.
 func TestAnswersOfAnEarlierTerm(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	c := b.n.core
 	c.Step(b.clock.now, Lead{leadership.KeyRead{OK: true}})
 	c.Step(b.clock.now, Lead{leadership.Granted{OK: true, Tenure: 1, Sent: b.clock.now}})
@@ -120,7 +120,7 @@
 // service counts from when the answers left that it has seen, never from when
 // it arrives; without a known answer it counts for nothing.
 func TestRelayedNodesAttest(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	answered := relay.Answered{}
 	data, err := wire.Squeeze(mesh.Batch{ID: "x", Node: "n1"})
 	if err != nil {
--- a/internal/controller/server_test.go
+++ b/internal/controller/server_test.go
@@ -33,16 +33,16 @@
 func (c *handClock) Now() unit.Instant { return c.now }
 func (c *handClock) Wall() time.Time   { return time.UnixMilli(1_700_000_000_000) }
 
-// bench is a node without a network: its state service is a stand-in, and its
+// nodeRig is a node without a network: its state service is a stand-in, and its
 // actor runs on what the handlers send it, without ticks.
-type bench struct {
+type nodeRig struct {
 	n     *Node
 	srv   *fake.StateServer
 	clock *handClock
 	http  http.Handler
 }
 
-func newBench(t *testing.T) *bench {
+func newNodeRig(t *testing.T) *nodeRig {
 	t.Helper()
 	set := simSettings()
 	set.Peers = []config.Peer{{Label: "n1", PeerAddr: "127.0.0.1:1"}}
@@ -54,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bench{n: n, srv: &fake.StateServer{State: fake.NewState()}, clock: &handClock{now: unit.Instant(time.Hour)}}
+	b := &nodeRig{n: n, srv: &fake.StateServer{State: fake.NewState()}, clock: &handClock{now: unit.Instant(time.Hour)}}
 	n.clock, n.core.clock = b.clock, b.clock
 	n.store = statestore.NewClient("10.2.0.1:1", b.srv)
 	n.core.types = []*fleet.Type{{Name: "m", Capacity: checkpoint.Resources{CPUs: 4, MemoryGB: 16}, Zones: []unit.Zone{"a"}}}
@@ -64,7 +64,7 @@
 }
 
 // lead makes the node the leader, with everything read.
-func (b *bench) lead(t *testing.T) {
+func (b *nodeRig) lead(t *testing.T) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -86,7 +86,7 @@
 	}()
 }
 
-func (b *bench) call(method, path string, body any) *httptest.ResponseRecorder {
+func (b *nodeRig) call(method, path string, body any) *httptest.ResponseRecorder {
 	var rd io.Reader
 	switch v := body.(type) {
 	case nil:
@@ -118,7 +118,7 @@
 }
 
 func TestUsersAnswers(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	want := func(code int, w *httptest.ResponseRecorder) {
 		t.Helper()
 		if w.Code != code {
@@ -146,7 +146,7 @@
 // TestSubmissionsBeyondTheBudget are refused at once, with the time to come
 // back, and never held.
 func TestSubmissionsBeyondTheBudget(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	codes := map[int]int{}
 	for i := range 40 {
 		w := b.call("POST", "/submissions", submission(fmt.Sprintf("wk-%06d", i)))
@@ -164,7 +164,7 @@
 // answer has another store the job, soon enough for its user; one that has no
 // changes left asks others before it refuses.
 func TestSubmissionsGoToWhoCanStoreThem(t *testing.T) {
-	b, other := newBench(t), newBench(t)
+	b, other := newNodeRig(t), newNodeRig(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -204,7 +204,7 @@
 }
 
 func TestBodyOverTheLimit(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	body := &endless{}
 	if w := b.call("POST", "/submissions", body); w.Code != 400 {
 		t.Errorf("%d, want 400", w.Code)
@@ -220,7 +220,7 @@
 // TestReportsOnlyWhileEntitled: whoever is not entitled must refuse workers,
 // up to the moment the answer leaves, so that their leases really run out.
 func TestReportsOnlyWhileEntitled(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	b.n.core.lead.Step(b.clock.now, leadership.KeyRead{OK: true, Holder: leadership.Holder{Node: "n1"}, Stamp: 5})
 	ticket := make(chan ReplyReport, 1)
 	r := &fleet.Report{Machine: "host-000001", Session: 1, Tally: 1}
@@ -229,7 +229,7 @@
 		t.Errorf("follower answers %+v", got)
 	}
 
-	b = newBench(t)
+	b = newNodeRig(t)
 	b.lead(t)
 	if w := b.call("POST", "/agent/beat", report(0)); w.Code != 200 {
 		t.Fatalf("leader answers %d", w.Code)
@@ -251,7 +251,7 @@
 // TestHigherTokenDeposes: a worker that has seen a higher token proves that
 // somebody else was elected.
 func TestHigherTokenDeposes(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	b.srv.State.Down = true // it can't be elected again
 	b.lead(t)
 	if w := b.call("POST", "/agent/beat", report(78)); w.Code != 503 {
@@ -263,7 +263,7 @@
 }
 
 func TestUp(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	if w := b.call("GET", "/up", nil); w.Code != 503 {
 		t.Errorf("%d before the state service was reached", w.Code)
 	}
@@ -286,7 +286,7 @@
 // TestMachineTypesOutliveTheCloud: a node that starts while the cloud is down
 // takes the machine types that a leader has kept, and can validate.
 func TestMachineTypesOutliveTheCloud(t *testing.T) {
-	b := newBench(t)
+	b := newNodeRig(t)
 	holder := statestore.Txn{Writes: []statestore.Write{{Set: leadership.Key, Value: leadership.Holder{Node: "n0"}}}}
 	epoch, err := b.srv.State.Commit(holder)
 	if err != nil {
--- a/internal/controller/standby.go
+++ b/internal/controller/standby.go
@@ -141,7 +141,12 @@
 	if n.standby != nil {
 		n.standby.describe(now, v, &answer)
 	}
-	data, err := msgpack.Marshal(answer)
+	writeView(w, &answer)
+}
+
+// writeView answers an operator.
+func writeView(w http.ResponseWriter, view any) {
+	data, err := msgpack.Marshal(view)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/internal/controller/takeover_test.go
+++ b/internal/controller/takeover_test.go
@@ -310,26 +310,38 @@
 	})
 }
 
+// newLossySim returns a sim in which messages are lost, late and doubled, and troubles
+// go on.
+func newLossySim(t *testing.T, seed uint64, script string) *sim {
+	s := newSimOf(t, seed, script)
+	s.loss, s.dup, s.late, s.lateWrites = 0.01, 0.05, 0.05, 0.03
+	s.troubled = true
+	return s
+}
+
+// playLossyDay submits and cancels jobs amid the troubles, and lets these end.
+func (s *sim) playLossyDay() {
+	s.submitSteadily(120 * time.Second)
+	s.load()
+	s.after(5*time.Second, func() { s.cancelJob("wk-000003") })
+	s.after(40*time.Second, func() { s.cancelJob("wk-000004") })
+	s.run(130 * time.Second)
+	s.electAt = 0
+	s.finish()
+}
+
 // TestWarmStandbyDays plays days on which takeovers meet a second trouble, again and
 // again, with lost and late messages, cancellations and machines that vanish.
 func TestWarmStandbyDays(t *testing.T) {
 	eachSeed(t, *standbyDays, func(t *testing.T, seed uint64) {
-		s := newSimOf(t, 700+seed, warmScript)
-		s.loss, s.dup, s.late, s.lateWrites = 0.01, 0.05, 0.05, 0.03
-		s.troubled = true
+		s := newLossySim(t, 700+seed, warmScript)
 		s.again(8*time.Second, 16*time.Second, s.aroundTakeover)
 		s.again(20*time.Second, 40*time.Second, func() {
 			if up := s.fleetOf(); len(up) > 0 {
 				s.take(up[s.rng.IntN(len(up))])
 			}
 		})
-		s.submitSteadily(120 * time.Second)
-		s.load()
-		s.after(5*time.Second, func() { s.cancelJob("wk-000003") })
-		s.after(40*time.Second, func() { s.cancelJob("wk-000004") })
-		s.run(130 * time.Second)
-		s.electAt = 0
-		s.finish()
+		s.playLossyDay()
 		t.Logf("%d takeovers with a replica, %d without", s.warmTakeovers, s.coldTakeovers)
 		if s.warmTakeovers < 3 {
 			t.Error("the day has hardly any takeovers")
