Standbys list the machines, so that a successor can ask them at once

Ruled out: asking page by page, which leaves the last pages where they were.

Change, with the feature only: a standby reads the list every 15 s within the fifth of the cloud's call rate that the leader leaves, and asks by it. Nothing is rented by it: that waits for the list, or as long as placing waited before.

--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -20,7 +20,7 @@
 		n.log.Warn("records can't be read", "epoch", epoch, "err", err)
 		n.pause(ctx, retryUnsure)
 	}
-	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Stored: stored})
+	n.post(ctx, Loaded{Epoch: epoch, OK: err == nil, Stored: stored, Machines: n.knownMachines()})
 	if err == nil {
 		go n.relayDown(ctx, epoch, since)
 		n.watchJobs(ctx, epoch, since)
--- a/internal/controller/messages.go
+++ b/internal/controller/messages.go
@@ -33,6 +33,8 @@
 		Epoch  unit.Epoch
 		OK     bool
 		Stored takeover.Stored
+		// Machines are those that this node has listed as a standby.
+		Machines KnownMachines
 	}
 	// JobRead answers ReadJob.
 	JobRead struct {
@@ -146,6 +148,13 @@
 func (MeshCut) input()     {}
 func (FlavorsDone) input() {}
 
+// KnownMachines is a list of machines that was read before this node led: a hint of
+// whom to ask.
+type KnownMachines struct {
+	At   unit.Instant // when its first page was asked for
+	List []rental.Listed
+}
+
 // CommitKind tells the leader's transactions apart; one of each is under way
 // at a time.
 type CommitKind int
--- a/internal/controller/node.go
+++ b/internal/controller/node.go
@@ -175,6 +175,7 @@
 	go n.watchLoad(ctx, limited)
 	if n.standby != nil {
 		go n.standby.run(ctx)
+		go n.standby.listMachines(ctx)
 	}
 	if n.holder != nil {
 		go n.holder.run(ctx)
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -244,7 +244,7 @@
 		Blocked: func(o rental.Offer) bool { return t.rentals.Blocked(now, o) },
 		Policy:  t.c.pol, Expect: t.expect, Spares: t.spares(), Typical: t.typical(),
 		MayVacate:  now.Sub(max(t.lastVacate, t.acquired)) >= t.c.pol.VacateEvery && !t.c.cut,
-		MayHire:    len(t.c.types) > 0 && t.cloud.Level(now) >= 1 && len(t.rentals.Pending()) < 4,
+		MayHire:    len(t.c.types) > 0 && t.knowsMachines(now) && t.cloud.Level(now) >= 1 && len(t.rentals.Pending()) < 4,
 		ValueBytes: t.limits().ValueBytes(), Parts: t.parts(), RoundParts: t.roundParts(), Replace: t.replaceable(now), SpecSize: func(j *checkpoint.Job) int { return t.specSize[j.ID] }}
 	w.Held, w.Covers = t.held()
 	w.Active = func(team unit.Team) bool {
--- a/internal/controller/sim_nodes_test.go
+++ b/internal/controller/sim_nodes_test.go
@@ -39,7 +39,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	n.core = NewCore(&set, s.pol, simClock{s, n}, statestore.NewBudget(3, 80, 25),
 		rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64())), log, NewMetrics())
-	n.follower, n.holder = nil, nil
+	n.follower, n.holder, n.machines = nil, nil, KnownMachines{}
 	if s.pol.Features.TeamQuotas && !s.before[n.index] {
 		n.holder = quota.NewHolder(n.name, s.set.Params.State.ValueBytes())
 	}
@@ -70,6 +70,11 @@
 	}
 	s.follow(n, standby.Led{On: n.core.lead.Epoch() != 0})
 	s.follow(n, standby.Tick{})
+	if at := n.clock(s.now); at.Sub(n.machines.At) > listEvery && n.core.lead.Epoch() == 0 && !s.severed(n.zone, "") {
+		if list, err := s.cloud.List(s.now); err == nil {
+			n.machines = KnownMachines{At: at, List: list}
+		}
+	}
 	if ready := n.replicaState(s.now) == standby.Ready; ready != n.ready {
 		n.ready = ready
 		s.step(n, Lead{leadership.ReplicaState{Ready: ready}})
@@ -210,7 +215,7 @@
 	case LoadAll:
 		s.after(s.slowLoads+s.stateLatency(), func() {
 			stored, err := s.takeRecords(n, e.Epoch)
-			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && !s.stateless(n), Stored: stored})
+			s.reply(n, life, Loaded{Epoch: e.Epoch, OK: err == nil && !s.stateless(n), Stored: stored, Machines: n.machines})
 		})
 	case ReadJob:
 		s.after(s.stateLatency(), func() {
--- a/internal/controller/standby.go
+++ b/internal/controller/standby.go
@@ -13,6 +13,7 @@
 	"badgerbay/internal/feature"
 	"badgerbay/internal/leadership"
 	"badgerbay/internal/standby"
+	"badgerbay/internal/statestore"
 	"badgerbay/internal/unit"
 	"badgerbay/internal/wire"
 )
@@ -24,6 +25,7 @@
 	follower  *standby.Follower
 	published atomic.Pointer[standbyView]
 	ready     bool // as the core was told last
+	machines  atomic.Pointer[KnownMachines]
 }
 
 // standbyView is what the actor publishes after each look.
@@ -44,9 +46,58 @@
 func newStandbyActor(n *Node, w *feature.WarmStandby) *standbyActor {
 	a := &standbyActor{n: n, follower: standby.NewFollower(standby.Times{Sync: w.Sync}, int(w.ReplicaMB*mebibyte))}
 	a.publish()
+	a.machines.Store(&KnownMachines{})
 	return a
 }
 
+// listEvery is the pause between two lists of the machines that a standby reads.
+const listEvery = 15 * time.Second
+
+// listMachines reads the machine list again and again while this node does not lead,
+// within what the leader leaves of the cloud's call rate.
+func (a *standbyActor) listMachines(ctx context.Context) {
+	cloud := a.n.set.Params.Cloud
+	calls := statestore.NewBucket(cloud.RPS*(1-cloudCallRate)/float64(max(1, len(a.n.set.Peers))), 1)
+	for a.n.pause(ctx, listEvery) {
+		if a.n.view.Load().epoch != 0 {
+			continue
+		}
+		if known, ok := a.readList(ctx, calls); ok {
+			a.machines.Store(known)
+		}
+	}
+}
+
+// readList reads all pages of the list.
+func (a *standbyActor) readList(ctx context.Context, calls *statestore.Bucket) (*KnownMachines, bool) {
+	known := &KnownMachines{At: a.n.clock.Now()}
+	var since unit.MachineID
+	for {
+		for !calls.Take(a.n.clock.Now(), 1, 0) {
+			if !a.n.pause(ctx, calls.Wait(a.n.clock.Now(), 1, 0)) {
+				return nil, false
+			}
+		}
+		page, more, err := a.n.cloud.List(ctx, since)
+		if err != nil {
+			return nil, false
+		}
+		known.List = append(known.List, page...)
+		if !more || len(page) == 0 {
+			return known, true
+		}
+		since = page[len(page)-1].ID
+	}
+}
+
+// knownMachines are those that this node has listed as a standby.
+func (n *Node) knownMachines() KnownMachines {
+	if n.standby == nil {
+		return KnownMachines{}
+	}
+	return *n.standby.machines.Load()
+}
+
 // replica is the latest replica; it does not change any more.
 func (a *standbyActor) replica() *standby.Replica { return a.published.Load().replica }
 
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"badgerbay/internal/checkpoint"
+	"badgerbay/internal/rental"
 	"badgerbay/internal/rollout"
 	"badgerbay/internal/round"
 	"badgerbay/internal/statestore"
@@ -39,6 +40,7 @@
 		t.replay(now, r)
 	}
 	t.loaded, t.dirty = true, true
+	t.takeKnown(now, in.Machines)
 	t.answerParked(now)
 	t.c.log.Info("checkpoints read", "epoch", t.epoch, "jobs", len(t.jobs), "open_rounds", len(open))
 }
@@ -126,7 +128,7 @@
 // is a warm standby: workers that wait for an answer of the lost leader come by
 // themselves only when they have given it up.
 func (t *term) askMachines(now unit.Instant) {
-	if t.ready || t.c.pol.Features.WarmStandby == nil || !t.listRead {
+	if t.ready || t.c.pol.Features.WarmStandby == nil || !t.listRead && !t.hinted {
 		return
 	}
 	asked := t.fleet.Unheard(askAtOnce)
@@ -136,6 +138,25 @@
 	t.asking.Sent(now, len(asked), len(asked) == askAtOnce)
 }
 
+// takeKnown takes in the machines that this node listed as a standby, so that they can
+// be asked before the list is read anew: at 4,000 machines that takes eight calls, and
+// 4 s where the cloud takes two a second; see knowsMachines.
+func (t *term) takeKnown(now unit.Instant, known KnownMachines) {
+	for _, l := range known.List {
+		if l.Standing == rental.Running && !t.fleet.Gone(l.ID) {
+			t.listed(now, known.At, l)
+			t.hinted = true
+		}
+	}
+}
+
+// knowsMachines tells whether machines may be rented by what is known of those there
+// are: a list that was read as a standby is too old for that, unless the new one is
+// late.
+func (t *term) knowsMachines(now unit.Instant) bool {
+	return t.listRead || !t.hinted || now.Sub(t.acquired) >= t.c.set.Params.Workers.LongestReportGap()
+}
+
 // reconciled lets placing begin once enough is known of what earlier leaders did.
 func (t *term) reconciled(now unit.Instant) {
 	if t.ready {
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -58,6 +58,7 @@
 	stage      stage
 	lostRounds bool // some round's record can't be read
 	asking     takeover.Asking
+	hinted     bool // machines are known from a list that was read before this term
 	quota      *quota.Ledger
 	// keepsQuotas is when each node last said that it would keep to allotments.
 	keepsQuotas map[string]unit.Instant
