--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -68,6 +68,8 @@
 		return playHistory(ctx, dir, command, trouble, rec)
 	case "mistakes":
 		return playMistakes(ctx, dir, command, trouble, rec)
+	case "gang":
+		return playGang(ctx, dir, command, trouble, rec)
 	}
 	return failed, fmt.Errorf("unknown case %q", name)
 }
