--- a/review/standin/nodes.go
+++ b/review/standin/nodes.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -149,29 +150,30 @@
 	return 0
 }
 
-// copyLogs copies the lines of the nodes' logs that match one of the words to the record.
+// copyLogs copies the lines of the nodes' logs that contain one of the words to the record: of each node the
+// first lines for each word, and the number of the others.
 func copyLogs(rec *recorder, nodes []*node, words ...string) {
-	const most = 40
+	const most = 8
 	for _, n := range nodes {
 		data, err := os.ReadFile(n.config + ".log")
 		if err != nil {
 			continue
 		}
-		copied, left := 0, 0
+		found := map[string]int{}
 		for line := range strings.Lines(string(data)) {
-			for _, word := range words {
-				if !strings.Contains(line, word) {
-					continue
-				}
-				if copied++; copied <= most {
-					rec.logf("log of %s: %s", n.name, strings.TrimSpace(line))
-				} else {
-					left++
-				}
-				break
+			at := slices.IndexFunc(words, func(word string) bool { return strings.Contains(line, word) })
+			if at < 0 {
+				continue
+			}
+			if found[words[at]]++; found[words[at]] <= most {
+				rec.logf("log of %s: %s", n.name, strings.TrimSpace(line))
+			}
+		}
+		for _, word := range words {
+			if more := found[word] - most; more > 0 {
+				rec.logf("log of %s: %d more lines with %q", n.name, more, word)
 			}
 		}
-		rec.logf("log of %s: %d more such lines", n.name, left)
 	}
 }
 
