Leader: log why the longest waiting job does not start; metrics of quarantines

A job that waits although machines have room could wait for five reasons: the machines are quarantined; the job is in backoff or avoids the machines; a limit or spec excludes them; room is reserved for other work; or no rounds are planned. No log line or metric told them apart: "machine quarantined" is one line at the time it happens, and nothing said that it still held, for whose failures, or what the waiting job lacked.

"job waiting" now names, every 30 s, the job that has waited longest, the rest of its backoff, and the number of machines by the first obstacle. quarantined_machines and task_failures_total count both sides, and "machine quarantined" names the job whose failure caused it, with the number of its failures in a row. No decision changes.

--- a/internal/controller/componentfields_test.go
+++ b/internal/controller/componentfields_test.go
@@ -23,6 +23,7 @@
 	"machineMonitor":     {"machinemonitor.go"},
 	"deferredHeartbeats": {"heartbeats.go"},
 	"recoveryProgress":   {"recovery.go"},
+	"waitReporter":       {"waitingjobs.go"},
 }
 
 // emptyImporter is an importer that returns empty packages: the check needs only the types that the controller declares
--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -42,6 +42,7 @@
 		t.log.Debug("task ended", "job", j.ID, "task", p.Task, "machine", p.Machine, "cause", ended.Cause, "attempt", p.Attempt, "epoch", t.epoch)
 		switch ended.Cause {
 		case fleet.ExitError:
+			t.metrics.TaskFailures.Inc()
 			t.taskFailed(now, j, m)
 		case fleet.ExitNoCapacity, fleet.ExitBusy, fleet.ExitUnknownTask:
 			avoidMachine(j, p.Machine, now.Add(refusalAvoidance))
@@ -85,7 +86,7 @@
 	m.ConsecutiveFailures++
 	if m.ConsecutiveFailures >= maxMachineFailures && !m.Quarantined {
 		m.Quarantined = true
-		t.log.Info("machine quarantined", "machine", m.ID, "epoch", t.epoch)
+		t.log.Info("machine quarantined", "machine", m.ID, "job", j.ID, "job_failures", j.ConsecutiveFailures, "epoch", t.epoch)
 	}
 }
 
--- a/internal/controller/gauges.go
+++ b/internal/controller/gauges.go
@@ -12,11 +12,22 @@
 	updateJobGauges(m, t.jobs, now)
 	m.UncertainProvisions.Set(float64(t.provisioner.unknownOutcomeCount()))
 	m.Machines.Set(float64(t.fleet.Len()))
+	m.QuarantinedMachines.Set(float64(t.quarantinedCount()))
 	m.FreeRoundSlots.Set(float64(t.rounds.freeSlots()))
 	m.Tombstones.Set(float64(t.fleet.TombstoneCount()))
 	m.Epoch.Set(float64(t.epoch))
 }
 
+func (t *term) quarantinedCount() int {
+	n := 0
+	for _, m := range t.fleet.Machines() {
+		if m.Quarantined {
+			n++
+		}
+	}
+	return n
+}
+
 // updateJobGauges sets the gauges that are computed from all jobs.
 func updateJobGauges(m *metrics.Metrics, table *jobTable, now clock.Instant) {
 	age, pending, queued := 0.0, 0, 0
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -29,6 +29,7 @@
 	provisioner *provisioner
 	monitor     *machineMonitor
 	deferred    *deferredHeartbeats
+	waits       waitReporter
 	recovery    recoveryProgress
 }
 
@@ -136,7 +137,7 @@
 }
 
 // sweep runs the time-driven checks if they are due: it expires worker leases, stops broken gangs, probes silent
-// machines and answers overdue cancellations. It also updates the gauges.
+// machines and answers overdue cancellations. It also updates the gauges and reports the job that waits longest.
 func (t *term) sweep(now clock.Instant) {
 	if !t.monitor.beginSweepIfDue(now) {
 		return
@@ -148,4 +149,7 @@
 	}
 	t.jobs.answerOverdueCancellations(now)
 	t.updateGauges(now)
+	if t.waits.beginReportIfDue(now) {
+		t.logWaitingJob(now)
+	}
 }
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -51,6 +51,8 @@
 	// RunTime, if set, returns the run time of a task in place of the one that Spec returns for all tasks
 	// of the job. It is not used if Spec returns a run time of 0.
 	RunTime func(ident.TaskID) time.Duration
+	// Fails, if set, reports whether a task fails at the end of its run time.
+	Fails func(ident.TaskID) bool
 	// FetchTime is how long fetching an image takes.
 	FetchTime time.Duration
 	// OnTaskChange is called with started true when a task starts on the machine, and with started false
@@ -91,12 +93,21 @@
 			w.OnTaskChange(now, w, t.ID, true)
 		}
 		if t.State == fleet.TaskRunning && (w.completed[t.ID] || t.EndsAt != 0 && !now.Before(t.EndsAt)) {
-			w.completed[t.ID] = true
-			w.exit(now, t, fleet.ExitDone)
+			w.end(now, t)
 		}
 	}
 }
 
+// end ends a task at the end of its run time: it completes or fails.
+func (w *Worker) end(now clock.Instant, t *Task) {
+	if !w.completed[t.ID] && w.Fails != nil && w.Fails(t.ID) {
+		w.exit(now, t, fleet.ExitError)
+		return
+	}
+	w.completed[t.ID] = true
+	w.exit(now, t, fleet.ExitDone)
+}
+
 // KillAll kills all tasks and removes them, so that no heartbeat reports them any more.
 func (w *Worker) KillAll(now clock.Instant) {
 	for _, t := range w.tasks {
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -91,10 +91,36 @@
 }
 
 // Schedulable reports whether the machine may get tasks.
-func (f *Fleet) Schedulable(m *Machine) bool {
-	reachable := m.Up && m.Confirmed && m.unansweredCommands < maxUnansweredCommands
-	leaving := m.Deprovisioning || m.Removed || m.Failed || m.InterruptionAt != 0 || m.Draining
-	return reachable && !leaving && !m.Quarantined && !m.HasRunningOrphan() && f.machineTypes[m.Type] != nil
+func (f *Fleet) Schedulable(m *Machine) bool { return f.SchedulingObstacle(m) == ObstacleNone }
+
+// Obstacle is the reason why a machine may get no tasks.
+type Obstacle string
+
+// Reasons why a machine may get no tasks, and ObstacleNone if it may.
+const (
+	ObstacleNone        Obstacle = ""
+	ObstacleUnreachable Obstacle = "unreachable" // not up, not confirmed, or it does not answer commands
+	ObstacleLeaving     Obstacle = "leaving"     // failed, interrupted, being drained or being deprovisioned
+	ObstacleQuarantined Obstacle = "quarantined"
+	ObstacleUnknownTask Obstacle = "unknown_task" // a task without a placement may be running on it
+	ObstacleUnknownType Obstacle = "unknown_type"
+)
+
+// SchedulingObstacle returns the first reason why the machine may get no tasks.
+func (f *Fleet) SchedulingObstacle(m *Machine) Obstacle {
+	switch {
+	case !m.Up || !m.Confirmed || m.unansweredCommands >= maxUnansweredCommands:
+		return ObstacleUnreachable
+	case m.Deprovisioning || m.Removed || m.Failed || m.InterruptionAt != 0 || m.Draining:
+		return ObstacleLeaving
+	case m.Quarantined:
+		return ObstacleQuarantined
+	case m.HasRunningOrphan():
+		return ObstacleUnknownTask
+	case f.machineTypes[m.Type] == nil:
+		return ObstacleUnknownType
+	}
+	return ObstacleNone
 }
 
 // HeartbeatOverdue reports whether the machine has missed heartbeats, so that a start command sent to it would probably
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -39,6 +39,8 @@
 	UncertainProvisions    prometheus.Gauge
 	QueuedTasks            prometheus.Gauge
 	Machines               prometheus.Gauge
+	QuarantinedMachines    prometheus.Gauge
+	TaskFailures           prometheus.Counter
 	FreeRoundSlots         prometheus.Gauge
 	Tombstones             prometheus.Gauge
 	Epoch                  prometheus.Gauge
@@ -92,6 +94,8 @@
 	m.UncertainProvisions = gauge("uncertain_hires", "Provision requests whose outcome is unknown.")
 	m.QueuedTasks = gauge("queued_tasks", "Tasks waiting for a machine.")
 	m.Machines = gauge("machines", "Machines known.")
+	m.QuarantinedMachines = gauge("quarantined_machines", "Machines that get no tasks because tasks failed on them; at a leader.")
+	m.TaskFailures = counter("task_failures_total", "Tasks that exited with an error.")
 	m.FreeRoundSlots = gauge("round_slots_free", "Free slots of the ring of round records.")
 	m.Tombstones = gauge("tombstones", "Exits of tasks that wait to be forgotten.")
 	m.Epoch = gauge("epoch", "Epoch of this node, 0 if it does not lead.")
