Leader: a task that starts is no evidence that its machine works

A machine on which every task fails shortly after its start was used for ever, unless three tasks failed in the same heartbeat: term.applyChanges reset the count of failures whenever a task was reported as running, and a task that then fails is reported as running first. Such a machine always has room, so it drew more tasks than the others.

Only a completed task resets the count now. The fake worker can fail tasks, by machine and by job.

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -175,7 +175,6 @@
 		t.stopForInterruption(now, m)
 	}
 	for _, s := range ch.Started {
-		m.ConsecutiveFailures = 0
 		t.log.Debug("task running", "job", s.Placement.Job.ID, "task", s.Placement.Task, "machine", m.ID, "epoch", t.epoch)
 	}
 	t.tasksEnded(now, ch)
--- a/internal/controller/simulation_environment_test.go
+++ b/internal/controller/simulation_environment_test.go
@@ -148,6 +148,7 @@
 		w.OnExit = s.countGangExit
 		w.Spec = s.jobSpec
 		w.RunTime = s.taskRunTime
+		w.Fails = func(task ident.TaskID) bool { return s.mistakenJobs[task.Job] || s.faultyMachines[w.ID] }
 		s.heartbeatLoop(w, s.rng.IntN(len(s.nodes)))
 	}
 }
--- a/internal/controller/simulation_faults_test.go
+++ b/internal/controller/simulation_faults_test.go
@@ -41,6 +41,8 @@
 	unreachableUntil    map[ident.MachineID]clock.Instant // machines that receive nothing, though their heartbeats arrive
 	heartbeatsLostUntil map[ident.MachineID]clock.Instant // machines whose heartbeats are lost; they receive commands
 
+	faultyMachines map[ident.MachineID]bool // machines on which every task fails at the end of its run time
+
 	// State service.
 	refusedByStore        map[int]bool  // nodes that it refuses, but that reach their peers
 	lateCommitProbability float64       // of committing a transaction late and without a reply
@@ -49,7 +51,8 @@
 	limitGraceUntil       clock.Instant // until then, writes may exceed its limits
 
 	// Users.
-	cancelAtEndProbability float64 // of cancelling a job when its last running task ends
+	mistakenJobs           map[ident.JobID]bool // jobs whose tasks fail on every machine at the end of their run time
+	cancelAtEndProbability float64              // of cancelling a job when its last running task ends
 }
 
 // defaultHeartbeatDelay is the value of maxHeartbeatDelay in scenarios that don't set it.
@@ -65,6 +68,8 @@
 		unreachableUntil:     map[ident.MachineID]clock.Instant{},
 		heartbeatsLostUntil:  map[ident.MachineID]clock.Instant{},
 		refusedByStore:       map[int]bool{},
+		faultyMachines:       map[ident.MachineID]bool{},
+		mistakenJobs:         map[ident.JobID]bool{},
 	}
 }
 
