Leader: failures of mistaken jobs no longer withdraw machines that work

Cause: three failed tasks in a row quarantined a machine, and the first three failures of any job counted. Tasks of one array on one machine fail together, so one mistake counted as three independent failures.

Fix: internal/quarantine weighs failures by what is known of their jobs. A job that runs elsewhere counts each failed task, as before. One that does not counts once, and no longer when it fails on a second machine or is cancelled. A quarantine ends when the evidence for it does. Only jobs that run elsewhere make a machine faulty, so that it is deprovisioned when idle: a mistake used to cost idle machines as well.

TestMistakenJobsDoNotQuarantineMachines failed before with each of its four seeds: "no task of an array started within 1m30s of the last cancellation". It passes now, and so do all tests of internal/controller, TestWorkLeavesFaultyMachine among them.

--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -7,6 +7,7 @@
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/ident"
 	"badgerbay/internal/jobs"
+	"badgerbay/internal/quarantine"
 )
 
 const (
@@ -24,26 +25,22 @@
 	// refused to start its task.
 	failureAvoidance = time.Minute
 	refusalAvoidance = 3 * time.Second
-	// maxMachineFailures is the number of consecutive task failures after which a machine is quarantined. Failures
-	// beyond maxAttributedFailures of a job do not count.
-	maxMachineFailures = 3
-	// maxAttributedFailures is how many consecutive failures of a job count against machines. Further failures are
-	// attributed to the job itself.
-	maxAttributedFailures = 3
+	// maxLoggedJobs bounds the number of jobs that a log line about a machine names.
+	maxLoggedJobs = 5
 )
 
 // tasksEnded handles tasks that have ended: according to the cause it applies backoffs, lets jobs avoid machines and
-// counts failures.
+// records failures.
 func (t *term) tasksEnded(now clock.Instant, ch fleet.Changes) {
 	for _, ended := range ch.Ended {
 		t.rounds.requestPlan()
 		p := ended.Placement
-		j, m := p.Job, t.fleet.Machine(p.Machine)
+		j := p.Job
 		t.log.Debug("task ended", "job", j.ID, "task", p.Task, "machine", p.Machine, "cause", ended.Cause, "attempt", p.Attempt, "epoch", t.epoch)
 		switch ended.Cause {
 		case fleet.ExitError:
 			t.metrics.TaskFailures.Inc()
-			t.taskFailed(now, j, m)
+			t.taskFailed(now, p)
 		case fleet.ExitNoCapacity, fleet.ExitBusy, fleet.ExitUnknownTask:
 			avoidMachine(j, p.Machine, now.Add(refusalAvoidance))
 			j.BackoffUntil = max(j.BackoffUntil, now.Add(refusalBackoff))
@@ -51,9 +48,7 @@
 		case fleet.ExitGangIncomplete, fleet.ExitGangPeersLost:
 			gangFailed(now, p)
 		case fleet.ExitDone:
-			if m != nil {
-				m.ConsecutiveFailures = 0
-			}
+			t.quarantines.RecordSuccess(p.Machine)
 		}
 	}
 }
@@ -72,21 +67,34 @@
 	j.BackoffUntil = max(j.BackoffUntil, now.Add(backoff))
 }
 
-// taskFailed applies the backoff to the job. It counts the failure against the machine, unless the job has failed more
-// than maxAttributedFailures times in a row: such a job is assumed to fail on every machine.
-func (t *term) taskFailed(now clock.Instant, j *jobs.Job, m *fleet.Machine) {
-	applyBackoff(now, j, failureBackoffBase)
-	if m == nil {
+// taskFailed applies the backoff to the job, lets it avoid the machine, and records the failure, which may quarantine
+// the machine.
+func (t *term) taskFailed(now clock.Instant, p *jobs.Placement) {
+	applyBackoff(now, p.Job, failureBackoffBase)
+	if t.fleet.Machine(p.Machine) == nil {
 		return
 	}
-	avoidMachine(j, m.ID, now.Add(failureAvoidance))
-	if j.ConsecutiveFailures > maxAttributedFailures {
-		return
-	}
-	m.ConsecutiveFailures++
-	if m.ConsecutiveFailures >= maxMachineFailures && !m.Quarantined {
-		m.Quarantined = true
-		t.log.Info("machine quarantined", "machine", m.ID, "job", j.ID, "job_failures", j.ConsecutiveFailures, "epoch", t.epoch)
+	avoidMachine(p.Job, p.Machine, now.Add(failureAvoidance))
+	t.quarantines.RecordFailure(now, p)
+}
+
+// updateQuarantines quarantines the machines that the failures of tasks are attributed to, and ends the quarantines of
+// those they are no longer attributed to.
+func (t *term) updateQuarantines(now clock.Instant) {
+	isKnown := func(id ident.MachineID) bool { return t.fleet.Machine(id) != nil }
+	for _, change := range t.quarantines.Update(now, isKnown) {
+		m := t.fleet.Machine(change.Machine)
+		if m == nil {
+			continue
+		}
+		m.Quarantined, m.Faulty = change.State != quarantine.InService, change.State == quarantine.Faulty
+		t.rounds.requestPlan()
+		event := "machine quarantined"
+		if !m.Quarantined {
+			event = "machine quarantine ended"
+		}
+		t.log.Info(event, "machine", m.ID, "state", change.State.String(), "failures", change.Evidence,
+			"failed_jobs", change.Jobs[:min(len(change.Jobs), maxLoggedJobs)], "epoch", t.epoch)
 	}
 }
 
--- a/internal/controller/purity_test.go
+++ b/internal/controller/purity_test.go
@@ -13,7 +13,7 @@
 // simulated time.
 var purePackages = []string{
 	"chunk", "clock", "config", "controller", "election", "featuregate", "fleet", "ident", "indexset", "jobs", "leadtransfer",
-	"leasedelegation", "policy", "quota", "recovery", "roundlog", "scheduler", "schemaversion", "standby",
+	"leasedelegation", "policy", "quarantine", "quota", "recovery", "roundlog", "scheduler", "schemaversion", "standby",
 }
 
 // isForbiddenImport reports whether a package gives access to the network or makes decisions depend on the time of a
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -15,6 +15,56 @@
 	}
 }
 
+// submitReplicaInEachZone submits a service of one replica for each zone, with the IDs from n on, so that no machine
+// that runs one becomes idle.
+func (s *simulation) submitReplicaInEachZone(n int) {
+	for i, zone := range s.settings.Params.Zones {
+		replica := serviceSpec
+		replica.Tasks, replica.CPUs, replica.Zone = 1, 1, zone
+		s.submit(n+i, replica, 0)
+	}
+}
+
+// submitMistakenJob submits an array whose tasks fail on every machine, and cancels it after a time.
+func (s *simulation) submitMistakenJob(n, tasks int, cancelAfter time.Duration) {
+	spec := arraySpec
+	spec.Tasks = tasks
+	id := s.submit(n, spec, time.Second)
+	s.mistakenJobs[id] = true
+	s.schedule(cancelAfter, func() { s.cancelJob(id) })
+}
+
+// startsWithin submits an array and reports whether a task of it starts within a time.
+func (s *simulation) startsWithin(n int, limit time.Duration) bool {
+	spec := arraySpec
+	spec.Tasks = 4
+	id := s.submit(n, spec, time.Second)
+	s.runFor(limit)
+	return s.jobs[id].startedAt != 0
+}
+
+// TestMistakenJobsDoNotQuarantineMachines checks that jobs that were submitted with a mistake and cancelled by their
+// users don't keep later jobs from the machines that they failed on. It guards against a failure in which the tasks of
+// one array that failed together quarantined a machine, which was never used again because it ran a replica.
+func TestMistakenJobsDoNotQuarantineMachines(t *testing.T) {
+	t.Parallel()
+	forEachSeed(t, 4, func(t *testing.T, seed uint64) {
+		s := newSimulation(t, 500+seed)
+		s.limitCloudToLargeMachines(1)
+		s.submitReplicaInEachZone(1)
+		s.runFor(40 * time.Second)
+		for n := range 6 {
+			s.submitMistakenJob(10+n, 4, 6*time.Second)
+			s.runFor(2500 * time.Millisecond)
+		}
+		s.runFor(6 * time.Second)
+		if !s.startsWithin(30, maxStartDelay) {
+			t.Errorf("no task of an array started within %v of the last cancellation", maxStartDelay)
+		}
+		s.healAndFinish()
+	})
+}
+
 // TestWorkLeavesFaultyMachine checks that a machine on which every task fails gets no more work, and is deprovisioned.
 // It guards against a failure in which the start of each task erased the failures of the tasks before it, so that a
 // machine on which tasks failed one by one was used for ever.
--- a/internal/controller/scalein.go
+++ b/internal/controller/scalein.go
@@ -88,14 +88,14 @@
 	return machines
 }
 
-// isUnneeded reports whether a machine did not come up in time, or is idle and has passed its idle timeout, is
-// quarantined or is being drained.
+// isUnneeded reports whether a machine did not come up in time, or is idle and has passed its idle timeout, is faulty or
+// is being drained.
 func (t *term) isUnneeded(now clock.Instant, m *fleet.Machine, retained bool) bool {
 	if m.Session == 0 {
 		return t.isBootOverdue(now, m) && !t.core.recentlyStalled(now)
 	}
 	timedOut := now.Sub(m.IdleSince) > t.idleTimeout(m) && !retained
-	return !m.Busy() && (timedOut || m.Quarantined || m.Draining)
+	return !m.Busy() && (timedOut || m.Faulty || m.Draining)
 }
 
 // idleTimeout returns how long a machine may be idle: a multiple of the boot time of its type, within the bounds of the
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -6,6 +6,7 @@
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/ident"
 	"badgerbay/internal/leasedelegation"
+	"badgerbay/internal/quarantine"
 )
 
 // term is the state of a node for as long as it is the leader: a working copy of data whose authoritative sources are
@@ -29,6 +30,7 @@
 	provisioner *provisioner
 	monitor     *machineMonitor
 	deferred    *deferredHeartbeats
+	quarantines *quarantine.Tracker
 	waits       waitReporter
 	recovery    recoveryProgress
 }
@@ -51,6 +53,7 @@
 		provisioner: newProvisioner(env, now),
 		monitor:     &machineMonitor{environment: env},
 		deferred:    &deferredHeartbeats{environment: env},
+		quarantines: quarantine.NewTracker(),
 	}
 	t.fleet = fleet.New(fleetTiming(env), epoch, now, t.jobs.get)
 	t.fleet.SetMachineTypes(c.machineTypes)
@@ -143,6 +146,7 @@
 		return
 	}
 	t.tasksEnded(now, t.fleet.ExpireLeases(now))
+	t.updateQuarantines(now)
 	t.stopBrokenGangs(now)
 	if t.core.election.LeaseValid(now) {
 		t.probeSilentMachines(now)
--- a/internal/jobs/placement.go
+++ b/internal/jobs/placement.go
@@ -65,6 +65,16 @@
 	return now.Sub(p.RunningSince)
 }
 
+// StableRunTime is how long a replica must have run for its service to count as one that runs.
+// Nothing else shows that: replicas don't complete.
+const StableRunTime = 2 * time.Minute
+
+// RanStably reports whether the placement is that of a replica that has run for StableRunTime. It
+// is false for tasks of arrays: a mistaken one may fail at the end of any run time.
+func (p *Placement) RanStably(now clock.Instant) bool {
+	return p.Job.Spec.Service && p.runTime(now) >= StableRunTime
+}
+
 // groupKey holds the values that all placements of a PlacementGroup share.
 type groupKey struct {
 	machine ident.MachineID
