Leader: a quarantine ends after a minute, then one failure renews it

What users saw: a machine on which tasks failed for ten seconds got no work for the rest of the leader's term, and work that fits only there never started.

Cause: a quarantine ended only with the machine, which is returned when it runs no task. A machine that runs a replica always runs one.

Fix: after a minute the machine is tried again, on probation: one failure renews the quarantine, a completed task ends the probation. The minute is below the 90 s that work may wait while a machine has room. An idle faulty machine is returned as before.

TestQuarantineEnds failed before with each of its four seeds: "no task of an array started in zone a within 1m30s of the end of the fault". All tests of internal/controller and internal/quarantine pass.

--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"badgerbay/internal/cloud"
+	"badgerbay/internal/ident"
 )
 
 // limitCloudToLargeMachines leaves n machines of type large in each zone for provisioning, and no others.
@@ -87,3 +88,44 @@
 	}
 	s.healAndFinish()
 }
+
+// TestQuarantineEnds checks that a machine that was faulty for a while, and was never idle because it runs a replica,
+// gets work again. It guards against a failure in which the quarantine of such a machine lasted until the leader
+// changed, while work that fits only there waited.
+func TestQuarantineEnds(t *testing.T) {
+	t.Parallel()
+	forEachSeed(t, 4, func(t *testing.T, seed uint64) {
+		s := newSimulation(t, 520+seed)
+		s.limitCloudToLargeMachines(1)
+		s.submitReplicaInEachZone(1)
+		s.runFor(40 * time.Second)
+		machine := s.machineIn("a")
+		s.faultyMachines[machine] = true
+		large := arraySpec
+		large.Tasks = 60
+		s.submit(10, large, 2*time.Second)
+		s.runFor(10 * time.Second)
+		if m := s.leader().core.term.fleet.Machine(machine); m == nil || !m.Faulty {
+			t.Fatalf("machine %s, on which every task fails, is not considered faulty: %+v", machine, m)
+		}
+		delete(s.faultyMachines, machine)
+		bound := arraySpec
+		bound.Zone = "a"
+		id := s.submit(20, bound, time.Second)
+		if s.runFor(maxStartDelay); s.jobs[id].startedAt == 0 {
+			t.Errorf("no task of an array started in zone a within %v of the end of the fault", maxStartDelay)
+		}
+		s.healAndFinish()
+	})
+}
+
+// machineIn returns the first machine of a zone.
+func (s *simulation) machineIn(zone ident.Zone) ident.MachineID {
+	for _, m := range s.cloud.SortedMachines() {
+		if m.Offer.Zone == zone {
+			return m.ID
+		}
+	}
+	s.t.Fatalf("no machine in zone %s", zone)
+	return ""
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -49,6 +49,11 @@
 	maxMachinesAtFault = 3
 	// failureWindow is how long a failure counts.
 	failureWindow = 10 * time.Minute
+	// Duration is how long a machine is quarantined before it is tried again. Work that fits
+	// nowhere else may wait for it for 90 s.
+	Duration = time.Minute
+	// minProbationEvidence takes the place of minEvidence on a machine that is being tried again.
+	minProbationEvidence = 1
 )
 
 // Change is a change of a machine's state.
@@ -67,10 +72,20 @@
 	jobs     map[*jobs.Job]*jobHistory
 }
 
-// machineHistory holds the failures on a machine since a task last succeeded there.
+// machineHistory holds the failures on a machine since a task last succeeded there, or since the
+// end of its last quarantine if that is later.
 type machineHistory struct {
-	state    State
-	failures map[*jobs.Job]*failures
+	state         State
+	quarantinedAt clock.Instant
+	failures      map[*jobs.Job]*failures
+	// releasedAt is when the last quarantine ended by its duration; 0: never. The machine is on
+	// probation from then on, until a task succeeds or failureWindow has passed.
+	releasedAt clock.Instant
+}
+
+// onProbation reports whether the machine is being tried again.
+func (m *machineHistory) onProbation(now clock.Instant) bool {
+	return m.releasedAt != 0 && now.Sub(m.releasedAt) <= failureWindow
 }
 
 // failures counts the failures of one job on one machine.
@@ -163,7 +178,7 @@
 		if change, changed := t.updateMachine(now, id); changed {
 			changes = append(changes, change)
 		}
-		if machine := t.machines[id]; !exists(id) || machine.state == InService && len(machine.failures) == 0 {
+		if machine := t.machines[id]; !exists(id) || machine.isUnremarkable(now) {
 			delete(t.machines, id)
 		}
 	}
@@ -171,18 +186,47 @@
 	return changes
 }
 
-// updateMachine sets the state of a machine according to the failures attributed to it, and
-// reports whether it has changed.
+// updateMachine sets the state of a machine according to the failures attributed to it and the time
+// it has been quarantined, and reports whether the state has changed.
 func (t *Tracker) updateMachine(now clock.Instant, id ident.MachineID) (Change, bool) {
 	machine := t.machines[id]
 	maps.DeleteFunc(machine.failures, func(_ *jobs.Job, f *failures) bool { return isOld(now, f.lastAt) })
 	evidence, proven := t.weigh(machine)
+	change := Change{Machine: id, Evidence: evidence, Jobs: machine.failedJobs()}
 	previous := machine.state
-	machine.state = stateFor(evidence, proven)
-	if machine.state == previous {
-		return Change{}, false
+	if previous != InService && now.Sub(machine.quarantinedAt) >= Duration {
+		machine.release(now)
+	} else {
+		machine.setState(now, stateFor(evidence, proven, machine.requiredEvidence(now)))
+	}
+	change.State = machine.state
+	return change, machine.state != previous
+}
+
+// release ends the quarantine of a machine without regard to the evidence, and puts it on probation.
+func (m *machineHistory) release(now clock.Instant) {
+	m.state, m.releasedAt = InService, now
+	clear(m.failures)
+}
+
+func (m *machineHistory) setState(now clock.Instant, state State) {
+	if m.state == InService && state != InService {
+		m.quarantinedAt = now
+	}
+	m.state = state
+}
+
+// requiredEvidence returns how many failures quarantine the machine.
+func (m *machineHistory) requiredEvidence(now clock.Instant) int {
+	if m.onProbation(now) {
+		return minProbationEvidence
 	}
-	return Change{Machine: id, State: machine.state, Evidence: evidence, Jobs: machine.failedJobs()}, true
+	return minEvidence
+}
+
+// isUnremarkable reports whether nothing needs to be remembered of the machine.
+func (m *machineHistory) isUnremarkable(now clock.Instant) bool {
+	return m.state == InService && len(m.failures) == 0 && !m.onProbation(now)
 }
 
 func (m *machineHistory) failedJobs() []ident.JobID {
@@ -195,12 +239,12 @@
 }
 
 // stateFor returns the state of a machine to which evidence failures are attributed, of which
-// proven are those of jobs that run elsewhere.
-func stateFor(evidence, proven int) State {
+// proven are those of jobs that run elsewhere, if required failures quarantine it.
+func stateFor(evidence, proven, required int) State {
 	switch {
-	case proven >= minEvidence:
+	case proven >= required:
 		return Faulty
-	case evidence >= minEvidence:
+	case evidence >= required:
 		return Suspected
 	default:
 		return InService
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -138,3 +138,36 @@
 		f.expect(t, "a third failure since "+name, "m1", Faulty)
 	}
 }
+
+// TestQuarantineIsTried checks that a quarantined machine gets tasks again after Duration, that the next failure there
+// quarantines it again, and that a success ends the probation. It guards against a failure in which a quarantine lasted
+// for as long as the machine ran anything.
+func TestQuarantineIsTried(t *testing.T) {
+	f := newFixture()
+	running := array("wk-000001", 10)
+	f.fail(running, "m1", 1, 8)
+	f.expect(t, "eight failures", "m1", Faulty)
+	f.now = f.now.Add(Duration - 1)
+	f.update()
+	f.expect(t, "almost the duration of a quarantine", "m1", Faulty)
+	f.now = f.now.Add(1)
+	f.update()
+	f.expect(t, "the duration of a quarantine", "m1", InService)
+	f.fail(running, "m1", 2, 1)
+	f.expect(t, "one failure on probation", "m1", Faulty)
+	f.now = f.now.Add(Duration)
+	f.update()
+	f.tracker.RecordSuccess("m1")
+	f.fail(running, "m1", 3, 2)
+	f.expect(t, "two failures after a success", "m1", InService)
+}
+
+// TestSuccessDuringQuarantineEndsNothing checks that a success of a task that was already running on a faulty machine
+// does not end its quarantine.
+func TestSuccessDuringQuarantineEndsNothing(t *testing.T) {
+	f := newFixture()
+	f.fail(array("wk-000001", 10), "m1", 1, 3)
+	f.tracker.RecordSuccess("m1")
+	f.update()
+	f.expect(t, "a success during the quarantine", "m1", Faulty)
+}
