Leader: tasks of an array that fail together on a machine back off once

What users saw: an array that runs well elsewhere started nothing for 30 s because six or more of its tasks were on one faulty machine.

Fix: only the first failure of a job on a machine in an attempt applies the backoff.

TestTasksThatFailTogetherBackOffOnce failed before: "the array backs off for 30s after 8 tasks failed together, want 1s". All tests of internal/controller pass.

--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -67,15 +67,14 @@
 	j.BackoffUntil = max(j.BackoffUntil, now.Add(backoff))
 }
 
-// taskFailed applies the backoff to the job, lets it avoid the machine, and records the failure, which may quarantine
-// the machine.
+// taskFailed records the failure of a task, which may quarantine its machine, and lets the job avoid the machine. Tasks
+// of one job that were started together on a machine tend to fail together, so only the first of them applies the
+// backoff.
 func (t *term) taskFailed(now clock.Instant, p *jobs.Placement) {
-	applyBackoff(now, p.Job, failureBackoffBase)
-	if t.fleet.Machine(p.Machine) == nil {
-		return
+	if firstOfAttempt := t.quarantines.RecordFailure(now, p); firstOfAttempt {
+		applyBackoff(now, p.Job, failureBackoffBase)
 	}
 	avoidMachine(p.Job, p.Machine, now.Add(failureAvoidance))
-	t.quarantines.RecordFailure(now, p)
 }
 
 // updateQuarantines quarantines the machines that the failures of tasks are attributed to, and ends the quarantines of
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"badgerbay/internal/cloud"
+	"badgerbay/internal/fleet"
 	"badgerbay/internal/ident"
 )
 
@@ -129,3 +130,35 @@
 	s.t.Fatalf("no machine in zone %s", zone)
 	return ""
 }
+
+// failTasks makes all running tasks of a machine fail, and sends the heartbeat that reports it.
+func (g *coreFixture) failTasks(i int) {
+	for k, task := range g.machines[i].Tasks {
+		if task.State == fleet.TaskRunning {
+			g.machines[i].Tasks[k].State, g.machines[i].Tasks[k].Cause = fleet.TaskExited, fleet.ExitError
+		}
+	}
+	g.sendHeartbeat(i)
+}
+
+// TestTasksThatFailTogetherBackOffOnce checks that the tasks of an array that fail together on one machine delay the
+// array as one failure does. It guards against a failure in which an array that runs well elsewhere waited for 30 s
+// because six of its tasks were on a faulty machine.
+func TestTasksThatFailTogetherBackOffOnce(t *testing.T) {
+	t.Parallel()
+	g := newCoreFixture(t, 1)
+	spec := arraySpec
+	spec.Tasks, spec.CPUs = 8, 1
+	g.submit(1, spec)
+	for range 5 {
+		g.advance(time.Second)
+	}
+	j := g.core.term.jobs.get("wk-000001")
+	if j.RunningTasks() != spec.Tasks {
+		t.Fatalf("%d of %d tasks run", j.RunningTasks(), spec.Tasks)
+	}
+	g.failTasks(0)
+	if backoff, want := j.BackoffUntil.Sub(g.now), 2*failureBackoffBase; backoff != want || j.Queue.Len() != spec.Tasks {
+		t.Errorf("the array backs off for %v after %d tasks failed together, want %v", backoff, j.Queue.Len(), want)
+	}
+}
