--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -69,8 +69,11 @@
 
 // taskFailed records the failure of a task, which may quarantine its machine, and lets the job avoid the machine. Tasks
 // of one job that were started together on a machine tend to fail together, so only the first of them applies the
-// backoff.
+// backoff. A replica that has run stably ends a series of failures, as the completion of a task does.
 func (t *term) taskFailed(now clock.Instant, p *jobs.Placement) {
+	if p.RanStably(now) {
+		p.Job.ConsecutiveFailures = 0
+	}
 	if firstOfAttempt := t.quarantines.RecordFailure(now, p); firstOfAttempt {
 		applyBackoff(now, p.Job, failureBackoffBase)
 	}
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -7,6 +7,7 @@
 	"badgerbay/internal/cloud"
 	"badgerbay/internal/fleet"
 	"badgerbay/internal/ident"
+	"badgerbay/internal/jobs"
 )
 
 // limitCloudToLargeMachines leaves n machines of type large in each zone for provisioning, and no others.
@@ -162,3 +163,27 @@
 		t.Errorf("the array backs off for %v after %d tasks failed together, want %v", backoff, j.Queue.Len(), want)
 	}
 }
+
+// TestFailuresOfStableServiceAreNotConsecutive checks that a replica that fails after a long run is replaced as soon as
+// after its first failure. It guards against a failure in which nothing but the completion of a task, which a service
+// never has, reset the count: a service that had failed a few times in its life waited for 30 s each time.
+func TestFailuresOfStableServiceAreNotConsecutive(t *testing.T) {
+	t.Parallel()
+	s := newSimulation(t, 530)
+	spec := serviceSpec
+	spec.Tasks = 1
+	id := s.submit(1, spec, jobs.StableRunTime+30*time.Second)
+	s.mistakenJobs[id] = true // each replica fails after that time
+	longest := time.Duration(0)
+	s.scheduleEvery(100*time.Millisecond, func() {
+		if l := s.leader(); l != nil && l.core.term != nil && l.core.term.jobs.get(id) != nil {
+			longest = max(longest, l.core.term.jobs.get(id).BackoffUntil.Sub(l.steadyTime(s.now)))
+		}
+	})
+	s.runFor(20 * time.Minute)
+	if starts := s.jobs[id].starts; longest > 2*failureBackoffBase || starts < 6 {
+		t.Errorf("the longest backoff was %v in %d starts, want %v and at least 6", longest, starts, 2*failureBackoffBase)
+	}
+	s.cancelJob(id)
+	s.healAndFinish()
+}
