Leader: a drain that a long task holds up ends after a minute

What users saw: a job did not start for more than 90 s, although a machine had 14 of 16 CPUs free. The machine was being drained, and an array task on it took an hour.

Cause: the same as that of the quarantine without end: a state that withholds a machine from work ended only when the machine became idle. Fix: a machine that is busy after a minute of draining gets work again, and is not drained again for ten minutes, so that its replicas aren't moved in vain each time.

TestDrainOfBusyMachineEnds failed before: "a job did not start within 1m30s, though the machine being drained has room for it". All tests of internal/controller, internal/scheduler and internal/fleet pass.

--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -26,18 +26,36 @@
 	plan := scheduler.PlanRound(t.snapshot(now, no))
 	t.rounds.recordPlan(now, plan)
 	t.quotas.recordBlockedDemand(now, plan.ReservationBlocked)
-	t.drain(plan.Drain)
+	t.drain(now, plan.Drain)
 	t.evict(now, plan.Evictions)
 	t.writeRound(now, plan)
 }
 
-func (t *term) drain(machines []ident.MachineID) {
+// maxDrainTime is how long a machine is drained while it still runs tasks. Work that fits nowhere else may wait for it
+// for 90 s.
+const maxDrainTime = time.Minute
+
+func (t *term) drain(now clock.Instant, machines []ident.MachineID) {
 	for _, id := range machines {
-		t.fleet.Machine(id).Draining = true
+		m := t.fleet.Machine(id)
+		m.Draining, m.DrainingSince = true, now
 		t.log.Info("machine drain started", "machine", id, "epoch", t.epoch)
 	}
 }
 
+// endOverdueDrains lets machines get tasks again that have been drained for maxDrainTime and still run tasks. A drain
+// moves replicas, and lets the tasks of arrays run to completion, which may take hours.
+func (t *term) endOverdueDrains(now clock.Instant) {
+	for _, m := range t.fleet.Machines() {
+		if !m.Draining || !m.Busy() || m.Deprovisioning || now.Sub(m.DrainingSince) < maxDrainTime {
+			continue
+		}
+		m.Draining = false
+		t.rounds.requestPlan()
+		t.log.Info("machine drain ended", "machine", m.ID, "tasks", m.Load().Tasks, "epoch", t.epoch)
+	}
+}
+
 func (t *term) evict(now clock.Instant, evictions []scheduler.Eviction) {
 	for _, e := range evictions {
 		p := e.Placement
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -187,3 +187,48 @@
 	s.cancelJob(id)
 	s.healAndFinish()
 }
+
+// TestDrainOfBusyMachineEnds checks that a machine that is being drained, and still runs a long task, gets work again.
+// It guards against a failure in which such a machine was withheld from work until the task ended, while a job that
+// fits only there waited.
+func TestDrainOfBusyMachineEnds(t *testing.T) {
+	t.Parallel()
+	s := newSimulation(t, 540)
+	clear(s.cloud.Capacity)
+	s.cloud.Capacity[cloud.Offer{Type: "large", Zone: "a"}] = 2
+	s.settings.Params.Teams[0].CPULimit = 100
+	replica := serviceSpec
+	replica.Tasks, replica.ZoneSpread, replica.Team = 1, false, "red"
+	large, small := replica, replica
+	large.CPUs, small.CPUs = 9, 5
+	s.submit(1, large, 0) // these two fill a machine each
+	s.submit(2, large, 0)
+	s.runFor(30 * time.Second)
+	s.submit(3, small, 0)
+	s.submit(4, small, 0)
+	s.runFor(10 * time.Second)
+	long := arraySpec
+	long.Tasks = 2
+	longID := s.submit(10, long, time.Hour)
+	s.runFor(20 * time.Second)
+	s.cancelJob("wk-000001")
+	s.cancelJob("wk-000002")
+	s.runFor(20 * time.Second)
+	drained := 0
+	for _, m := range s.leader().core.term.fleet.Machines() {
+		if m.Draining && m.Busy() {
+			drained++
+		}
+	}
+	if drained != 1 {
+		t.Fatalf("%d busy machines are being drained, want 1", drained)
+	}
+	waiting := arraySpec
+	waiting.CPUs, waiting.Tasks = 10, 1
+	id := s.submit(20, waiting, time.Second)
+	if s.runFor(maxStartDelay); s.jobs[id].startedAt == 0 {
+		t.Errorf("a job did not start within %v, though the machine being drained has room for it", maxStartDelay)
+	}
+	s.cancelJob(longID)
+	s.healAndFinish()
+}
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -139,14 +139,16 @@
 	t.pushCommands(now)
 }
 
-// sweep runs the time-driven checks if they are due: it expires worker leases, stops broken gangs, probes silent
-// machines and answers overdue cancellations. It also updates the gauges and reports the job that waits longest.
+// sweep runs the time-driven checks if they are due: it expires worker leases, ends quarantines and overdue drains,
+// stops broken gangs, probes silent machines and answers overdue cancellations. It also updates the gauges and reports
+// the job that waits longest.
 func (t *term) sweep(now clock.Instant) {
 	if !t.monitor.beginSweepIfDue(now) {
 		return
 	}
 	t.tasksEnded(now, t.fleet.ExpireLeases(now))
 	t.updateQuarantines(now)
+	t.endOverdueDrains(now)
 	t.stopBrokenGangs(now)
 	if t.core.election.LeaseValid(now) {
 		t.probeSilentMachines(now)
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -32,9 +32,10 @@
 	InterruptionAt clock.Instant // when the cloud will reclaim it; 0: no interruption notice
 	Deprovisioning bool          // its deprovisioning is recorded; it gets no more tasks
 	Removed        bool
-	Quarantined    bool // gets no tasks because tasks fail on it
-	Faulty         bool // is quarantined, and jobs that run elsewhere fail on it
-	Draining       bool // is being drained before it is deprovisioned
+	Quarantined    bool          // gets no tasks because tasks fail on it
+	Faulty         bool          // is quarantined, and jobs that run elsewhere fail on it
+	Draining       bool          // is being drained before it is deprovisioned
+	DrainingSince  clock.Instant // when the last drain started; 0: none did
 	// Confirmed means that the machine is certain to exist: a record or the response to a provision request names it,
 	// it has responded to a command, or it has reported a fencing token of this leader. Until then, its heartbeats may
 	// be copies that were delayed in transit for a long time.
--- a/internal/scheduler/consolidate.go
+++ b/internal/scheduler/consolidate.go
@@ -12,6 +12,9 @@
 	// minReplicaAgeSeconds is the minimum age of a replica that may be moved. The start of a
 	// replica that is stopped earlier does not count as a start to its user.
 	minReplicaAgeSeconds = 40
+	// minRedrainSeconds is the minimum time between two drains of a machine. The first one ended
+	// without the machine becoming idle, and the next would move replicas in vain as well.
+	minRedrainSeconds = 600
 	// machinesPerDrain is the number of machines in use for each machine that may be drained at
 	// a time.
 	machinesPerDrain = 20
@@ -72,7 +75,7 @@
 		if load.Tasks > 0 {
 			c.free[m] = m.free
 		}
-		if load.Services > 0 && !m.receivesTasks {
+		if load.Services > 0 && !m.receivesTasks && !c.drainedRecently(m) {
 			sources = append(sources, m)
 		}
 	}
@@ -90,6 +93,11 @@
 	}
 }
 
+func (c *consolidation) drainedRecently(m *candidateMachine) bool {
+	since := m.machine.DrainingSince
+	return since != 0 && c.urgency.now.Sub(since).Seconds() < minRedrainSeconds
+}
+
 // replicaShare returns the number of replicas per CPU of the machine, which approximates the
 // share of the machine that they use.
 func replicaShare(m *candidateMachine) float64 {
