Leader: a drain ends for work that waits, not after a minute in any case

A busy machine that is being drained now gets work again only if a job that fits on it has waited for a minute without any of its tasks being placed. The report of the longest waiting job measures the wait in the same way (jobs.Job.WaitingSince).

--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -8,6 +8,7 @@
 
 	"badgerbay/internal/clock"
 	"badgerbay/internal/cloud"
+	"badgerbay/internal/fleet"
 	"badgerbay/internal/ident"
 	"badgerbay/internal/jobs"
 	"badgerbay/internal/roundlog"
@@ -31,9 +32,9 @@
 	t.writeRound(now, plan)
 }
 
-// maxDrainTime is how long a machine is drained while it still runs tasks. Work that fits nowhere else may wait for it
-// for 90 s.
-const maxDrainTime = time.Minute
+// maxWaitForDrain is how long work that fits on a machine that is being drained waits until the machine gets it all the
+// same. Users may wait for 90 s while a machine has room.
+const maxWaitForDrain = time.Minute
 
 func (t *term) drain(now clock.Instant, machines []ident.MachineID) {
 	for _, id := range machines {
@@ -43,16 +44,26 @@
 	}
 }
 
-// endOverdueDrains lets machines get tasks again that have been drained for maxDrainTime and still run tasks. A drain
-// moves replicas, and lets the tasks of arrays run to completion, which may take hours.
-func (t *term) endOverdueDrains(now clock.Instant) {
+// endDrainsForWaitingJobs lets machines that are being drained get tasks again if work that fits on them has waited for
+// maxWaitForDrain. A drain moves replicas, and lets the tasks of arrays run to completion, which may take hours.
+func (t *term) endDrainsForWaitingJobs(now clock.Instant) {
+	waiting := t.waitingJobs(now, maxWaitForDrain)
+	if len(waiting) == 0 {
+		return
+	}
 	for _, m := range t.fleet.Machines() {
-		if !m.Draining || !m.Busy() || m.Deprovisioning || now.Sub(m.DrainingSince) < maxDrainTime {
+		if !m.Draining || !m.Busy() || m.Deprovisioning {
 			continue
 		}
-		m.Draining = false
-		t.rounds.requestPlan()
-		t.log.Info("machine drain ended", "machine", m.ID, "tasks", m.Load().Tasks, "epoch", t.epoch)
+		for _, j := range waiting {
+			if t.jobObstacle(now, j, m) != fleet.ObstacleNone {
+				continue
+			}
+			m.Draining = false
+			t.rounds.requestPlan()
+			t.log.Info("machine drain ended", "machine", m.ID, "tasks", m.Load().Tasks, "for", j.ID, "epoch", t.epoch)
+			break
+		}
 	}
 }
 
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -139,8 +139,8 @@
 	t.pushCommands(now)
 }
 
-// sweep runs the time-driven checks if they are due: it expires worker leases, ends quarantines and overdue drains,
-// stops broken gangs, probes silent machines and answers overdue cancellations. It also updates the gauges and reports
+// sweep runs the time-driven checks if they are due: it expires worker leases, ends quarantines and drains, stops
+// broken gangs, probes silent machines and answers overdue cancellations. It also updates the gauges and reports
 // the job that waits longest.
 func (t *term) sweep(now clock.Instant) {
 	if !t.monitor.beginSweepIfDue(now) {
@@ -148,7 +148,7 @@
 	}
 	t.tasksEnded(now, t.fleet.ExpireLeases(now))
 	t.updateQuarantines(now)
-	t.endOverdueDrains(now)
+	t.endDrainsForWaitingJobs(now)
 	t.stopBrokenGangs(now)
 	if t.core.election.LeaseValid(now) {
 		t.probeSilentMachines(now)
--- a/internal/controller/waitingjobs.go
+++ b/internal/controller/waitingjobs.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"badgerbay/internal/clock"
@@ -37,25 +39,34 @@
 		return
 	}
 	counts := t.machineObstacles(now, j)
-	t.log.Info("job waiting", "job", j.ID, "waited", now.Sub(j.QueuedSince), "queued", j.Queue.Len(), "placed", len(j.Placements),
+	t.log.Info("job waiting", "job", j.ID, "waited", now.Sub(j.WaitingSince()), "queued", j.Queue.Len(), "placed", len(j.Placements),
 		"backoff", max(0, j.BackoffUntil.Sub(now)), "machines", t.fleet.Len(),
 		"unreachable", counts[fleet.ObstacleUnreachable], "leaving", counts[fleet.ObstacleLeaving],
 		"quarantined", counts[fleet.ObstacleQuarantined], "not_allowed", counts[obstacleNotAllowed],
 		"avoided", counts[obstacleAvoided], "full", counts[obstacleFull], "epoch", t.epoch)
 }
 
-// longestWaiting returns the job whose tasks have been queued longest, or nil if none has waited for minReportedWait.
+// longestWaiting returns the job of which no task has started for longest, or nil if there is none that has waited for
+// minReportedWait.
 func (t *term) longestWaiting(now clock.Instant) *jobs.Job {
-	var longest *jobs.Job
+	waiting := t.waitingJobs(now, minReportedWait)
+	if len(waiting) == 0 {
+		return nil
+	}
+	return slices.MinFunc(waiting, func(a, b *jobs.Job) int {
+		return cmp.Or(cmp.Compare(a.WaitingSince(), b.WaitingSince()), compareByID(a, b))
+	})
+}
+
+// waitingJobs returns the jobs with queued tasks of which none has been placed for at least the given time.
+func (t *term) waitingJobs(now clock.Instant, atLeast time.Duration) []*jobs.Job {
+	var waiting []*jobs.Job
 	for j := range t.jobs.all() {
-		if len(j.Queue) == 0 || j.Phase.Final() || now.Sub(j.QueuedSince) < minReportedWait {
-			continue
-		}
-		if longest == nil || j.QueuedSince < longest.QueuedSince || j.QueuedSince == longest.QueuedSince && j.ID < longest.ID {
-			longest = j
+		if len(j.Queue) > 0 && !j.Phase.Final() && now.Sub(j.WaitingSince()) >= atLeast {
+			waiting = append(waiting, j)
 		}
 	}
-	return longest
+	return waiting
 }
 
 // Reasons why a machine that may get tasks can't run those of a particular job.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -174,6 +174,10 @@
 	return tasks
 }
 
+// WaitingSince returns since when the queued tasks have been waiting without any of them being
+// placed.
+func (j *Job) WaitingSince() clock.Instant { return max(j.QueuedSince, j.LastPlacedAt) }
+
 // HasStarted reports whether any task of the job is placed or done.
 func (j *Job) HasStarted() bool { return len(j.Placements) > 0 || len(j.Done) > 0 }
 
