Quarantine: a completed task clears a suspected machine; probation is for faulty ones

A suspected machine, on which three jobs failed that are not known to run, kept its quarantine of a minute although other tasks completed on it meanwhile, and afterwards a single mistaken job renewed it. With a mistaken job every few seconds, bound to a zone with one machine, the machine would have been withheld nearly all the time.

A task that completes there now ends the suspicion, since it shows that the machine works, and probation follows only the quarantine of a faulty machine. TestSuccessDuringQuarantine takes the place of the test that a success ends no quarantine: for faulty machines it checks the same, and for suspected ones the opposite. It and TestSuspicionIsNoProbation failed before: "machine m2 is suspected, want in service", "machine m1 is suspected, want in service".

--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -78,8 +78,8 @@
 	state         State
 	quarantinedAt clock.Instant
 	failures      map[*jobs.Job]*failures
-	// releasedAt is when the last quarantine ended by its duration; 0: never. The machine is on
-	// probation from then on, until a task succeeds or failureWindow has passed.
+	// releasedAt is when a faulty machine's last quarantine ended by its duration; 0: never. The
+	// machine is on probation from then on, until a task succeeds or failureWindow has passed.
 	releasedAt clock.Instant
 }
 
@@ -159,11 +159,11 @@
 }
 
 // RecordSuccess records that a task succeeded on a machine, so that the earlier failures there no
-// longer count. It has no effect on a quarantined machine, whose last tasks may succeed although
-// it is faulty.
+// longer count. It has no effect on a faulty machine, whose last tasks may succeed all the same.
 func (t *Tracker) RecordSuccess(id ident.MachineID) {
-	if machine := t.machines[id]; machine != nil && machine.state == InService {
-		delete(t.machines, id)
+	if machine := t.machines[id]; machine != nil && machine.state != Faulty {
+		clear(machine.failures)
+		machine.releasedAt = 0
 	}
 }
 
@@ -203,9 +203,13 @@
 	return change, machine.state != previous
 }
 
-// release ends the quarantine of a machine without regard to the evidence, and puts it on probation.
+// release ends the quarantine of a machine without regard to the evidence, and puts it on probation
+// if it was faulty.
 func (m *machineHistory) release(now clock.Instant) {
-	m.state, m.releasedAt = InService, now
+	if m.state == Faulty {
+		m.releasedAt = now
+	}
+	m.state = InService
 	clear(m.failures)
 }
 
@@ -272,8 +276,8 @@
 
 // runs reports whether a task of the job has completed, or a replica of it runs stably.
 func runs(now clock.Instant, job *jobs.Job) bool {
-	if len(job.Done) > 0 {
-		return true
+	if len(job.Done) > 0 || !job.Spec.Service {
+		return len(job.Done) > 0
 	}
 	for _, p := range job.Placements {
 		if p.RanStably(now) {
