--- a/internal/controller/simulation_users_test.go
+++ b/internal/controller/simulation_users_test.go
@@ -269,6 +269,7 @@
 	s.refusedByStore, s.peersPartitioned, s.lateCommitProbability, s.maxStoreLatency, s.recordsReadDelay = map[int]bool{}, false, 0, 0, 0
 	s.heartbeatsLostUntil, s.unreachableUntil = map[ident.MachineID]clock.Instant{}, map[ident.MachineID]clock.Instant{}
 	s.healPartition()
+	s.endTaskFailures()
 	s.cancelAtEndProbability, s.maxExtraLatency, s.faultsActive = 0, 0, false
 	s.watchStartDelays()
 	s.checkAllJobsAnswered()
