Leader: each task of a likely mistaken array applies the backoff again

With one backoff for all tasks that fail together, a mistaken array of four tasks was retried after 1, 2, 4 and 8 s. An array that runs elsewhere is not affected.

TestMistakenArrayBacksOffByTask failed before: "the array backs off for 2s after 2 failures, want 16s". All tests of internal/controller pass.

--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -69,12 +69,13 @@
 
 // taskFailed records the failure of a task, which may quarantine its machine, and lets the job avoid the machine. Tasks
 // of one job that were started together on a machine tend to fail together, so only the first of them applies the
-// backoff. A replica that has run stably ends a series of failures, as the completion of a task does.
+// backoff. If the job is likely mistaken each of them does, because machines may be provisioned for its retries. A
+// replica that has run stably ends a series of failures, as the completion of a task does.
 func (t *term) taskFailed(now clock.Instant, p *jobs.Placement) {
 	if p.RanStably(now) {
 		p.Job.ConsecutiveFailures = 0
 	}
-	if firstOfAttempt := t.quarantines.RecordFailure(now, p); firstOfAttempt {
+	if firstOfAttempt := t.quarantines.RecordFailure(now, p); firstOfAttempt || t.quarantines.LikelyMistaken(p.Job) {
 		applyBackoff(now, p.Job, failureBackoffBase)
 	}
 	avoidMachine(p.Job, p.Machine, now.Add(failureAvoidance))
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -164,6 +164,32 @@
 	}
 }
 
+// TestMistakenArrayBacksOffByTask checks that each task of an array counts that fails on a second machine while none has
+// completed. It guards against a failure in which a mistaken array, which avoids the machines it failed on, was retried
+// so soon that a machine was provisioned for it every few seconds.
+func TestMistakenArrayBacksOffByTask(t *testing.T) {
+	t.Parallel()
+	g := newCoreFixture(t, 4)
+	spec := arraySpec
+	spec.Tasks, spec.CPUs = 4, 1
+	g.submit(1, spec)
+	j := g.core.term.jobs.get("wk-000001")
+	failures := 0
+	for second := 0; second < 20 && failures < 2; second++ {
+		g.advance(time.Second)
+		if j.RunningTasks() < spec.Tasks {
+			continue
+		}
+		failures++
+		for i := range g.machines {
+			g.failTasks(i)
+		}
+	}
+	if backoff, want := j.BackoffUntil.Sub(g.now), failureBackoffBase<<(1+spec.Tasks); backoff != want || failures != 2 {
+		t.Errorf("the array backs off for %v after %d failures, want %v after one on each of two machines", backoff, failures, want)
+	}
+}
+
 // TestFailuresOfStableServiceAreNotConsecutive checks that a replica that fails after a long run is replaced as soon as
 // after its first failure. It guards against a failure in which nothing but the completion of a task, which a service
 // never has, reset the count: a service that had failed a few times in its life waited for 30 s each time.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -260,12 +260,12 @@
 func (t *Tracker) weigh(machine *machineHistory) (evidence, proven int) {
 	for job, f := range machine.failures {
 		history := t.jobs[job]
-		switch failedOn := len(history.lastFailure); {
-		case history.runs && failedOn <= maxMachinesAtFault:
+		switch {
+		case history.runs && len(history.lastFailure) <= maxMachinesAtFault:
 			proven += f.tasks
 		case history.runs:
 			proven += f.attempts
-		case failedOn == 1 && !job.Phase.Final():
+		case !history.likelyMistaken() && !job.Phase.Final():
 			// Either the job or the machine may be at fault. The job counts once, however many
 			// of its tasks failed together.
 			evidence++
@@ -274,6 +274,15 @@
 	return evidence + proven, proven
 }
 
+// LikelyMistaken reports whether a job has failed on more than one machine, and no task of it is
+// known to succeed.
+func (t *Tracker) LikelyMistaken(job *jobs.Job) bool {
+	history := t.jobs[job]
+	return history != nil && history.likelyMistaken()
+}
+
+func (h *jobHistory) likelyMistaken() bool { return !h.runs && len(h.lastFailure) > 1 }
+
 // runs reports whether a task of the job has completed, or a replica of it runs stably.
 func runs(now clock.Instant, job *jobs.Job) bool {
 	if len(job.Done) > 0 || !job.Spec.Service {
