--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -129,7 +129,7 @@
 // isStalled reports whether no task of the job has been placed for stallThresholdSeconds,
 // although some are queued.
 func (u *urgency) isStalled(job *jobs.Job) bool {
-	return u.now.Sub(max(job.QueuedSince, job.LastPlacedAt)).Seconds() >= stallThresholdSeconds
+	return u.now.Sub(job.WaitingSince()).Seconds() >= stallThresholdSeconds
 }
 
 // expectedRunSeconds returns the expected run time of a task of the job.
