Wire: values that follow one another are decoded with one error check

Placements, starts and reservations are stored as sequences of texts and counts, and each decoder repeated the error check after every value. wire.Sequence keeps the first error. The golden files of all three forms are unchanged and pass, as do the fuzz corpora of the records.

--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -218,18 +218,12 @@
 }
 
 func (g *PlacementGroup) decode(d *msgpack.Decoder) error {
-	machine, err := wire.DecodeString(d)
-	if err != nil {
-		return err
-	}
-	session, err := wire.DecodeCount(d)
-	if err != nil {
-		return err
-	}
-	attempt, err := wire.DecodeCount(d)
-	if err != nil {
+	fields := wire.NewSequence(d)
+	g.Machine = ident.MachineID(fields.Text())
+	g.Session = ident.Session(fields.Count())
+	g.Attempt = ident.Attempt(fields.Count())
+	if err := fields.Err(); err != nil {
 		return err
 	}
-	g.Machine, g.Session, g.Attempt = ident.MachineID(machine), ident.Session(session), ident.Attempt(attempt)
 	return g.Tasks.DecodeDelta(d)
 }
--- a/internal/quota/reservationrecord.go
+++ b/internal/quota/reservationrecord.go
@@ -130,29 +130,16 @@
 // unpack decodes what pack encoded. It clamps numbers above the maximum amount to the maximum plus one, so that they
 // do not overflow before check rejects them.
 func (r *Reservation) unpack(d *msgpack.Decoder) error {
-	job, err := wire.DecodeString(d)
-	if err != nil {
-		return err
-	}
-	team, err := wire.DecodeString(d)
-	if err != nil {
-		return err
-	}
-	var numbers [3]uint64
-	for i := range numbers {
-		if numbers[i], err = wire.DecodeCount(d); err != nil {
-			return err
-		}
-	}
 	const beyondMax = uint64(maxMillis) + 1
+	fields := wire.NewSequence(d)
 	*r = Reservation{
-		Job:   ident.JobID(job),
-		Team:  ident.Team(team),
-		Tasks: int(min(numbers[0], beyondMax)),
+		Job:   ident.JobID(fields.Text()),
+		Team:  ident.Team(fields.Text()),
+		Tasks: int(min(fields.Count(), beyondMax)),
 		TaskDemand: Quantity{
-			MilliCPU: int64(min(numbers[1], beyondMax)),
-			MilliGPU: int64(min(numbers[2], beyondMax)),
+			MilliCPU: int64(min(fields.Count(), beyondMax)),
+			MilliGPU: int64(min(fields.Count(), beyondMax)),
 		},
 	}
-	return nil
+	return fields.Err()
 }
--- a/internal/roundlog/starts.go
+++ b/internal/roundlog/starts.go
@@ -79,27 +79,19 @@
 
 // decode decodes a start. An empty job name in it stands for previousJob.
 func (s *Start) decode(d *msgpack.Decoder, previousJob ident.JobID, withAttempt bool) error {
-	job, err := wire.DecodeString(d)
-	if err != nil {
-		return err
-	}
-	machine, err := wire.DecodeString(d)
-	if err != nil {
-		return err
-	}
-	session, err := wire.DecodeCount(d)
-	if err != nil {
+	fields := wire.NewSequence(d)
+	s.Job = ident.JobID(fields.Text())
+	s.Machine = ident.MachineID(fields.Text())
+	s.Session = ident.Session(fields.Count())
+	if err := fields.Err(); err != nil {
 		return err
 	}
-	s.Job, s.Machine, s.Session = ident.JobID(job), ident.MachineID(machine), ident.Session(session)
-	if job == "" {
+	if s.Job == "" {
 		s.Job = previousJob
 	}
-	err = s.Tasks.DecodeDelta(d)
-	if err != nil || !withAttempt {
+	if err := s.Tasks.DecodeDelta(d); err != nil || !withAttempt {
 		return err
 	}
-	attempt, err := wire.DecodeCount(d)
-	s.Attempt = ident.Attempt(attempt)
-	return err
+	s.Attempt = ident.Attempt(fields.Count())
+	return fields.Err()
 }
