--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -192,15 +192,21 @@
 	machine := t.machines[id]
 	maps.DeleteFunc(machine.failures, func(_ *jobs.Job, f *failures) bool { return isOld(now, f.lastAt) })
 	evidence, proven := t.weigh(machine)
-	change := Change{Machine: id, Evidence: evidence, Jobs: machine.failedJobs()}
-	previous := machine.state
-	if previous != InService && now.Sub(machine.quarantinedAt) >= Duration {
+	state := stateFor(evidence, proven, machine.requiredEvidence(now))
+	expired := machine.state != InService && now.Sub(machine.quarantinedAt) >= Duration
+	if expired {
+		state = InService
+	}
+	if state == machine.state {
+		return Change{}, false
+	}
+	change := Change{Machine: id, State: state, Evidence: evidence, Jobs: machine.failedJobs()}
+	if expired {
 		machine.release(now)
 	} else {
-		machine.setState(now, stateFor(evidence, proven, machine.requiredEvidence(now)))
+		machine.setState(now, state)
 	}
-	change.State = machine.state
-	return change, machine.state != previous
+	return change, true
 }
 
 // release ends the quarantine of a machine without regard to the evidence, and puts it on probation
@@ -214,7 +220,7 @@
 }
 
 func (m *machineHistory) setState(now clock.Instant, state State) {
-	if m.state == InService && state != InService {
+	if m.state == InService {
 		m.quarantinedAt = now
 	}
 	m.state = state
