--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -8,7 +8,6 @@
 
 	"badgerbay/internal/clock"
 	"badgerbay/internal/cloud"
-	"badgerbay/internal/fleet"
 	"badgerbay/internal/ident"
 	"badgerbay/internal/jobs"
 	"badgerbay/internal/roundlog"
@@ -32,41 +31,6 @@
 	t.writeRound(now, plan)
 }
 
-// maxWaitForDrain is how long work that fits on a machine that is being drained waits until the machine gets it all the
-// same. Users may wait for 90 s while a machine has room.
-const maxWaitForDrain = time.Minute
-
-func (t *term) drain(now clock.Instant, machines []ident.MachineID) {
-	for _, id := range machines {
-		m := t.fleet.Machine(id)
-		m.Draining, m.DrainingSince = true, now
-		t.log.Info("machine drain started", "machine", id, "epoch", t.epoch)
-	}
-}
-
-// endDrainsForWaitingJobs lets machines that are being drained get tasks again if work that fits on them has waited for
-// maxWaitForDrain. A drain moves replicas, and lets the tasks of arrays run to completion, which may take hours.
-func (t *term) endDrainsForWaitingJobs(now clock.Instant) {
-	waiting := t.waitingJobs(now, maxWaitForDrain)
-	if len(waiting) == 0 {
-		return
-	}
-	for _, m := range t.fleet.Machines() {
-		if !m.Draining || !m.Busy() || m.Deprovisioning {
-			continue
-		}
-		for _, j := range waiting {
-			if t.jobObstacle(now, j, m) != fleet.ObstacleNone {
-				continue
-			}
-			m.Draining = false
-			t.rounds.requestPlan()
-			t.log.Info("machine drain ended", "machine", m.ID, "tasks", m.Load().Tasks, "for", j.ID, "epoch", t.epoch)
-			break
-		}
-	}
-}
-
 func (t *term) evict(now clock.Instant, evictions []scheduler.Eviction) {
 	for _, e := range evictions {
 		p := e.Placement
