--- a/internal/controller/quarantine_soak_test.go
+++ b/internal/controller/quarantine_soak_test.go
@@ -21,10 +21,7 @@
 func TestMistakesAndFaultyMachines(t *testing.T) {
 	t.Parallel()
 	forEachSeed(t, *mistakeSeeds, func(t *testing.T, seed uint64) {
-		s := newSimulation(t, 600+seed)
-		s.limitCloudToLargeMachines(1 + int(seed%3))
-		s.submitReplicaInEachZone(1)
-		s.runFor(40 * time.Second)
+		s := newBusyFleet(t, 600+seed, 1+int(seed%3))
 		s.faultsActive = true
 		s.repeatWhileFaultsActive(sec, 5*sec, s.submitRandomArray)
 		s.repeatWhileFaultsActive(20*sec, 60*sec, s.makeRandomMachineFaulty)
@@ -55,8 +52,7 @@
 	}
 	id := s.submit(100+len(s.jobs), spec, s.randomDuration(500*time.Millisecond, 6*sec))
 	if s.rng.IntN(3) == 0 {
-		s.mistakenJobs[id] = true
-		s.schedule(s.randomDuration(2*sec, 40*sec), func() { s.cancelJob(id) })
+		s.makeMistaken(id, s.randomDuration(2*sec, 40*sec))
 	}
 }
 
@@ -80,14 +76,10 @@
 }
 
 // TestFaultyMachineThatIsNeverIdle checks that a machine on which every array task fails, and which is not returned
-// because it runs a replica, gets no more than one round of tasks for each time that its quarantine ends, while the
-// arrays complete elsewhere.
+// because it runs a replica, is quarantined for at least three quarters of the time, while the arrays complete elsewhere.
 func TestFaultyMachineThatIsNeverIdle(t *testing.T) {
 	t.Parallel()
-	s := newSimulation(t, 511)
-	s.limitCloudToLargeMachines(1)
-	s.submitReplicaInEachZone(1)
-	s.runFor(40 * time.Second)
+	s := newBusyFleet(t, 511, 1)
 	machine := s.machineIn("a")
 	s.faultyMachines[machine] = true
 	const minutes = 10
--- a/internal/controller/quarantine_test.go
+++ b/internal/controller/quarantine_test.go
@@ -28,21 +28,25 @@
 	}
 }
 
-// submitMistakenJob submits an array whose tasks fail on every machine, and cancels it after a time.
-func (s *simulation) submitMistakenJob(n, tasks int, cancelAfter time.Duration) {
-	spec := arraySpec
-	spec.Tasks = tasks
-	id := s.submit(n, spec, time.Second)
+// newBusyFleet returns a simulation with one replica in each zone, on a cloud with n machines in each zone.
+func newBusyFleet(t *testing.T, seed uint64, n int) *simulation {
+	s := newSimulation(t, seed)
+	s.limitCloudToLargeMachines(n)
+	s.submitReplicaInEachZone(1)
+	s.runFor(40 * time.Second)
+	return s
+}
+
+// makeMistaken makes the tasks of a job fail on every machine, and cancels the job after a time.
+func (s *simulation) makeMistaken(id ident.JobID, cancelAfter time.Duration) {
 	s.mistakenJobs[id] = true
 	s.schedule(cancelAfter, func() { s.cancelJob(id) })
 }
 
-// startsWithin submits an array and reports whether a task of it starts within a time.
-func (s *simulation) startsWithin(n int, limit time.Duration) bool {
-	spec := arraySpec
-	spec.Tasks = 4
+// startsInTime submits an array and reports whether a task of it starts within maxStartDelay.
+func (s *simulation) startsInTime(n int, spec jobs.Spec) bool {
 	id := s.submit(n, spec, time.Second)
-	s.runFor(limit)
+	s.runFor(maxStartDelay)
 	return s.jobs[id].startedAt != 0
 }
 
@@ -52,16 +56,15 @@
 func TestMistakenJobsDoNotQuarantineMachines(t *testing.T) {
 	t.Parallel()
 	forEachSeed(t, 4, func(t *testing.T, seed uint64) {
-		s := newSimulation(t, 500+seed)
-		s.limitCloudToLargeMachines(1)
-		s.submitReplicaInEachZone(1)
-		s.runFor(40 * time.Second)
+		s := newBusyFleet(t, 500+seed, 1)
+		spec := arraySpec
+		spec.Tasks = 4
 		for n := range 6 {
-			s.submitMistakenJob(10+n, 4, 6*time.Second)
+			s.makeMistaken(s.submit(10+n, spec, time.Second), 6*time.Second)
 			s.runFor(2500 * time.Millisecond)
 		}
 		s.runFor(6 * time.Second)
-		if !s.startsWithin(30, maxStartDelay) {
+		if !s.startsInTime(30, spec) {
 			t.Errorf("no task of an array started within %v of the last cancellation", maxStartDelay)
 		}
 		s.healAndFinish()
@@ -97,10 +100,7 @@
 func TestQuarantineEnds(t *testing.T) {
 	t.Parallel()
 	forEachSeed(t, 4, func(t *testing.T, seed uint64) {
-		s := newSimulation(t, 520+seed)
-		s.limitCloudToLargeMachines(1)
-		s.submitReplicaInEachZone(1)
-		s.runFor(40 * time.Second)
+		s := newBusyFleet(t, 520+seed, 1)
 		machine := s.machineIn("a")
 		s.faultyMachines[machine] = true
 		large := arraySpec
@@ -113,8 +113,7 @@
 		delete(s.faultyMachines, machine)
 		bound := arraySpec
 		bound.Zone = "a"
-		id := s.submit(20, bound, time.Second)
-		if s.runFor(maxStartDelay); s.jobs[id].startedAt == 0 {
+		if !s.startsInTime(20, bound) {
 			t.Errorf("no task of an array started in zone a within %v of the end of the fault", maxStartDelay)
 		}
 		s.healAndFinish()
@@ -251,8 +250,7 @@
 	}
 	waiting := arraySpec
 	waiting.CPUs, waiting.Tasks = 10, 1
-	id := s.submit(20, waiting, time.Second)
-	if s.runFor(maxStartDelay); s.jobs[id].startedAt == 0 {
+	if !s.startsInTime(20, waiting) {
 		t.Errorf("a job did not start within %v, though the machine being drained has room for it", maxStartDelay)
 	}
 	s.cancelJob(longID)
