--- a/internal/controller/waitingjobs.go
+++ b/internal/controller/waitingjobs.go
@@ -94,7 +94,7 @@
 	switch {
 	case !j.Spec.AllowsMachine(m.Type, m.Zone, m.Spot):
 		return obstacleNotAllowed
-	case now.Before(j.AvoidUntil[m.ID]):
+	case j.Avoids(m.ID, now):
 		return obstacleAvoided
 	case !t.fleet.FreeCapacity(m).Fits(j.Spec.TaskResources()):
 		return obstacleFull
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -174,6 +174,12 @@
 	return tasks
 }
 
+// Avoids reports whether the job avoids a machine, because it has just failed there.
+func (j *Job) Avoids(id ident.MachineID, now clock.Instant) bool {
+	until, failed := j.AvoidUntil[id]
+	return failed && !until.Before(now)
+}
+
 // WaitingSince returns since when the queued tasks have been waiting without any of them being
 // placed.
 func (j *Job) WaitingSince() clock.Instant { return max(j.QueuedSince, j.LastPlacedAt) }
--- a/internal/scheduler/machines.go
+++ b/internal/scheduler/machines.go
@@ -46,16 +46,10 @@
 	return spec.AllowsMachine(m.machineType.Name, m.zone, m.spot)
 }
 
-// isAvoidedBy reports whether the job avoids the machine because it has just failed there.
-func (m *candidateMachine) isAvoidedBy(job *jobs.Job, now clock.Instant) bool {
-	until, failed := job.AvoidUntil[m.machine.ID]
-	return failed && !until.Before(now)
-}
-
 // accepts reports whether the machine may run tasks of the job, regardless of its free
 // capacity.
 func (m *candidateMachine) accepts(job *jobs.Job, now clock.Instant) bool {
-	return m.isAllowedBy(&job.Spec) && (m.machine == nil || !m.isAvoidedBy(job, now))
+	return m.isAllowedBy(&job.Spec) && (m.machine == nil || !job.Avoids(m.machine.ID, now))
 }
 
 // machinePool holds the machines that a plan may use.
--- a/internal/scheduler/selection.go
+++ b/internal/scheduler/selection.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		fits = true
-		if m.isAvoidedBy(job, s.now) || !s.costs.mayUse(job, m) {
+		if job.Avoids(m.machine.ID, s.now) || !s.costs.mayUse(job, m) {
 			continue
 		}
 		candidate := rankedMachine{
