--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -4,5 +4,6 @@
 // broken rule.
 var cases = map[string]func(*scene) error{
 	"ring-slots": ringSlots,
+	"lost-boot":  lostBoot,
 	"soak":       soak,
 }
