--- a/review/standin2/largereport.go
+++ b/review/standin2/largereport.go
@@ -38,7 +38,7 @@
 	go s.follow(s.ctx, replica, 5*time.Second, 0)
 	if !s.waitFor(90*time.Second, func() bool { return j.final == "done" }) {
 		s.mu.Lock()
-		s.breach("must run", "array: %d starts of %d tasks, %d done; service: %d starts", j.started, tasks, len(j.done), replica.started)
+		s.breach("accepted job must run", "array: %d starts of %d tasks, %d done; service: %d starts", j.started, tasks, len(j.done), replica.started)
 		s.mu.Unlock()
 	}
 	return nil
--- a/review/standin2/lostboot.go
+++ b/review/standin2/lostboot.go
@@ -66,7 +66,7 @@
 				free += n
 			}
 		}
-		s.breach("must run", "array: %d of %d tasks were started within 95 s; the cloud has %d more machines that it allows", j.started, array.Tasks, free)
+		s.breach("accepted job must run", "array: %d of %d tasks were started within 95 s; the cloud has %d more machines that it allows", j.started, array.Tasks, free)
 		s.mu.Unlock()
 	}
 	return nil
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -134,7 +134,7 @@
 		}
 	}
 	for _, n := range s.nodes {
-		if !n.waitReady(20 * time.Second) {
+		if !n.waitReady(20*time.Second) || n.endedByItself() {
 			return fmt.Errorf("controller %s is not healthy, see %s", n.label, filepath.Base(n.logPath))
 		}
 	}
--- a/review/standin2/node.go
+++ b/review/standin2/node.go
@@ -46,14 +46,23 @@
 	return strings.Fields(string(match[1])), nil
 }
 
-// freeAddr returns an address for a controller to listen on. No stand-in listens on the same IP address.
-func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp4", controllerLoopback+":0")
-	if err != nil {
-		return "", err
+// freeAddrs returns n different addresses for controllers to listen on. No stand-in listens on the same IP address.
+func freeAddrs(n int) ([]string, error) {
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners { // closed when all are found, so that none is found twice
+			l.Close()
+		}
+	}()
+	var addrs []string
+	for range n {
+		listener, err := net.Listen("tcp4", controllerLoopback+":0")
+		if err != nil {
+			return nil, err
+		}
+		listeners, addrs = append(listeners, listener), append(addrs, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return addrs, nil
 }
 
 // startNodes starts the controllers, with a proxy between each two of them.
@@ -62,14 +71,13 @@
 	if err != nil {
 		return nil, err
 	}
+	addrs, err := freeAddrs(2 * len(zones))
+	if err != nil {
+		return nil, err
+	}
 	for i, zone := range zones {
-		n := &node{label: fmt.Sprintf("shamba-%d", i), zone: zone, workerLink: newLink(), userLink: newLink(), command: command, log: w.log}
-		if n.clientAddr, err = freeAddr(); err != nil {
-			return nil, err
-		}
-		if n.meshAddr, err = freeAddr(); err != nil {
-			return nil, err
-		}
+		n := &node{label: fmt.Sprintf("shamba-%d", i), zone: zone, clientAddr: addrs[2*i], meshAddr: addrs[2*i+1], workerLink: newLink(),
+			userLink: newLink(), command: command, log: w.log}
 		n.settingsPath = filepath.Join(dir, n.label+".json")
 		n.logPath = filepath.Join(dir, n.label+".log")
 		w.nodes = append(w.nodes, n)
--- a/review/standin2/ringslots.go
+++ b/review/standin2/ringslots.go
@@ -82,7 +82,7 @@
 	go s.follow(s.ctx, j, 5*time.Second, 0)
 	if !s.waitFor(45*time.Second, func() bool { return j.started > 0 }) {
 		s.mu.Lock()
-		s.breach("must run", "job %s was accepted, and has not started for 45 s; %d machines are up", sub.ID, len(s.running))
+		s.breach("accepted job must run", "job %s was accepted, and has not started for 45 s; %d machines are up", sub.ID, len(s.running))
 		s.mu.Unlock()
 		s.log.add("%d rounds are stored", s.state.lastRound())
 	}
